--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -95,8 +95,9 @@
 
     attempt->http = NULL;
     if (result->is_complete) {
-        decoded = platform_decode(attempt->kv, attempt->may_have_run,
-                                  result->status, result->body, result->size);
+        decoded = attempt->platform->dialect->decode(
+            attempt->kv, attempt->may_have_run, result->status, result->body,
+            result->size);
     }
     switch (decoded) {
     case PLATFORM_DECODED:
@@ -106,6 +107,9 @@
     case PLATFORM_DECODE_MORE:
         platform_turn_take(attempt->platform, &attempt->turn);
         return;
+    case PLATFORM_DECODE_REFUSED:
+        note_failure(attempt, false);
+        return;
     case PLATFORM_DECODE_BAD:
         note_failure(attempt, result->is_sent);
         return;
@@ -140,10 +144,12 @@
     struct platform_attempt *attempt =
         lws_container_of(turn, struct platform_attempt, turn);
     struct platform *platform = attempt->platform;
+    struct platform_form form = {0};
     int64_t now_ms = base_clock_ms();
     char counter[64];
 
     note_sent(attempt, now_ms);
+    platform->dialect->encode(attempt->kv, &form);
     snprintf(counter, sizeof(counter), "kv_calls_total{op=\"%s\"}",
              platform_op_name(attempt->kv->op));
     platform_count(platform, counter, 1);
@@ -153,10 +159,11 @@
                              .ops = &OPS,
                              .context = attempt,
                              .address = attempt->endpoint,
-                             .method = "POST",
-                             .path = platform_path(attempt->kv->op),
-                             .body = platform_encode(attempt->kv),
+                             .method = form.method,
+                             .path = form.path,
+                             .body = form.body,
                              .timeout_ms = try_timeout_ms(attempt, now_ms)});
+    g_free(form.path);
 }
 
 static bool
@@ -207,6 +214,52 @@
 
 /* ---- the calls ---- */
 
+static void
+free_condition(gpointer data)
+{
+    struct platform_condition *condition = data;
+
+    g_free(condition->key);
+    g_free(condition);
+}
+
+static void
+free_write(gpointer data)
+{
+    struct platform_write *write = data;
+
+    g_free(write->key);
+    if (write->value != NULL) {
+        g_bytes_unref(write->value);
+    }
+    g_free(write);
+}
+
+/* Adds a condition to a transaction. */
+void
+platform_kv_expect(struct platform_kv *kv, const char *key, int64_t revision)
+{
+    struct platform_condition *condition =
+        g_new0(struct platform_condition, 1);
+
+    condition->key = g_strdup(key);
+    condition->revision = revision;
+    g_ptr_array_add(kv->conditions, condition);
+}
+
+/* Adds a write to a transaction; takes the value over.  NULL removes. */
+void
+platform_kv_write(struct platform_kv *kv, const char *key, GBytes *value,
+                  int64_t lease)
+{
+    struct platform_write *write = g_new0(struct platform_write, 1);
+
+    write->key = g_strdup(key);
+    write->value = value;
+    write->lease = lease;
+    g_ptr_array_add(kv->writes, write);
+}
+
 /* Makes an operation on a key (a prefix for PLATFORM_LIST, anything for
  * leases); the sender fills in the rest of the question. */
 struct platform_kv *
@@ -218,6 +271,10 @@
     kv->key = g_strdup(key != NULL ? key : "");
     kv->entries = g_ptr_array_new_with_free_func(platform_entry_free);
     base_random_id(kv->write_id, sizeof(kv->write_id));
+    if (op == PLATFORM_TXN) {
+        kv->conditions = g_ptr_array_new_with_free_func(free_condition);
+        kv->writes = g_ptr_array_new_with_free_func(free_write);
+    }
     if (op == PLATFORM_LEASE_GRANT) {
         /* Chosen here, so that a grant sent twice makes one lease. */
         randombytes_buf(&kv->lease, sizeof(kv->lease));
@@ -238,6 +295,10 @@
     if (kv->value != NULL) {
         g_bytes_unref(kv->value);
     }
+    if (kv->conditions != NULL) {
+        g_ptr_array_free(kv->conditions, TRUE);
+        g_ptr_array_free(kv->writes, TRUE);
+    }
     g_ptr_array_free(kv->entries, TRUE);
     g_free(kv);
 }
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -1,7 +1,7 @@
 /*
  * platform: the client of what the platform gives: the key-value service
- * (an etcd v3 JSON gateway), the host list and the weight store.  It runs as
- * one task with its own HTTP connections.
+ * (an etcd v3 JSON gateway, or another by its dialect), the host list and the
+ * weight store.  It runs as one task with its own HTTP connections.
  *
  *     struct platform_kv *get = platform_kv_new(PLATFORM_GET, "/cp/x");
  *     platform_kv_send(platform, get, &my_task, on_answer);
@@ -33,6 +33,7 @@
     PLATFORM_LIST,   /* all keys that begin with `key` */
     PLATFORM_PUT_IF, /* compare-and-swap on expect_revision */
     PLATFORM_DELETE_IF,
+    PLATFORM_TXN, /* all of kv->writes or nothing, under kv->conditions */
     PLATFORM_LEASE_GRANT,
     PLATFORM_LEASE_KEEP,
     PLATFORM_LEASE_REVOKE,
@@ -54,6 +55,19 @@
     int64_t lease;
 };
 
+/* PLATFORM_TXN: a key that must be at this revision. */
+struct platform_condition {
+    char *key;
+    int64_t revision; /* PLATFORM_ABSENT or a revision */
+};
+
+/* PLATFORM_TXN: a key that is put, or removed. */
+struct platform_write {
+    char *key;
+    GBytes *value; /* NULL: remove it */
+    int64_t lease;
+};
+
 struct platform_kv {
     struct base_call call;
     void (*answered)(struct platform_kv *kv, void *task_state);
@@ -64,7 +78,9 @@
     GBytes *value;
     int64_t expect_revision; /* PLATFORM_ABSENT, PLATFORM_ANY or a revision */
     int64_t lease;           /* 0: none */
-    int64_t ttl_s;           /* PLATFORM_LEASE_GRANT */
+    int64_t ttl_ms;          /* PLATFORM_LEASE_GRANT, and in its answer */
+    GPtrArray *conditions;   /* PLATFORM_TXN; see platform_kv_expect */
+    GPtrArray *writes;       /* PLATFORM_TXN; see platform_kv_write */
     int64_t timeout_ms;      /* 0: default */
     int64_t limit;           /* PLATFORM_LIST; 0: all */
     char *after;             /* PLATFORM_LIST: only keys after this one */
@@ -80,22 +96,34 @@
 };
 
 struct platform;
+struct platform_dialect;
 
 struct platform_kv *platform_kv_new(enum platform_op op, const char *key);
 void platform_kv_free(struct platform_kv *kv);
+/* The first write of a transaction carries its identity, so its key must be
+ * among the conditions for a lost answer to be resolved. */
+void platform_kv_expect(struct platform_kv *kv, const char *key,
+                        int64_t revision);
+void platform_kv_write(struct platform_kv *kv, const char *key, GBytes *value,
+                       int64_t lease);
 void platform_kv_send(struct platform *platform, struct platform_kv *kv,
                       struct base_task *from,
                       void (*answered)(struct platform_kv *kv,
                                        void *task_state));
 
 /* One change seen by a watch, or a sign that the watch began anew
- * (is_reset: read the prefix again, changes may have been missed). */
+ * (is_reset: changes may have been missed; `listing` holds all there is, or
+ * is NULL, and then the prefix is to be read again), or that the service
+ * answers again after outage_ms (is_regained). */
 struct platform_event {
     struct base_call call;
     void (*happened)(struct platform_event *event, void *task_state);
     void *context;
     bool is_reset;
+    bool is_regained;
     bool is_delete;
+    int64_t outage_ms;
+    GPtrArray *listing; /* of struct platform_entry */
     struct platform_entry entry;
 };
 
@@ -163,6 +191,8 @@
     int64_t call_timeout_ms; /* 0: 2,000 */
     int64_t silence_ms;      /* of a watch; 0: 3,000 */
     int calls_per_s;         /* budget of this node; 0: 20 */
+    int64_t poll_pace_ms;    /* least time between a watch's calls; 0: 500 */
+    const struct platform_dialect *dialect; /* NULL: platform_etcd */
     struct base_counters *counters;
 };
 
--- /dev/null
+++ b/packages/platform/poll.c
@@ -0,0 +1,312 @@
+#include <string.h>
+
+#include "platform/internal.h"
+
+enum {
+    /* How long the service may hold a call back.  Short enough that a
+     * connection which fell silent is noticed, long enough to be cheap. */
+    WAIT_MS = 10000,
+    BUSY_WAIT_MS = 2000, /* for a prefix that changes all the time */
+    ANSWER_MS = 1000,    /* beyond the wait */
+    LIST_MS = 1500,      /* for one page */
+    OUTAGE_MS = 500,     /* without an answer, before it is called one */
+};
+
+/* A watch by repeated calls: a listing, then what changed since, again and
+ * again.  A failed call is repeated from the same revision; only when the
+ * service has forgotten it is the prefix listed again. */
+struct platform_poll {
+    struct platform *platform;
+    struct platform_watch_desc desc;
+    struct platform_turn turn;
+    lws_sorted_usec_list_t timer;
+    struct platform_http_call *http; /* NULL: no call is open */
+    const char *endpoint;
+    struct platform_kv *list; /* the listing under way; NULL: none */
+    int64_t revision;         /* what is known; 0: nothing */
+    int64_t sent_ms;
+    int64_t answered_ms; /* the last good answer */
+    int64_t failed_ms;   /* the first failure since; 0: none */
+    int failures;
+    bool is_busy; /* the last call brought changes */
+};
+
+static void
+send_event(const struct platform_poll *poll, struct platform_event *event)
+{
+    platform_event_send(event, poll->desc.to);
+}
+
+static struct platform_event *
+new_event(const struct platform_poll *poll)
+{
+    return platform_event_new(poll->desc.happened, poll->desc.context);
+}
+
+static void
+take_turn(lws_sorted_usec_list_t *timer)
+{
+    struct platform_poll *poll =
+        lws_container_of(timer, struct platform_poll, timer);
+
+    platform_turn_take(poll->platform, &poll->turn);
+}
+
+static void
+call_after(struct platform_poll *poll, int64_t wait_ms)
+{
+    platform_after(poll->platform, &poll->timer, take_turn, MAX(wait_ms, 0));
+}
+
+/* Calls that return at once are paced, so that several changes come in one
+ * answer. */
+static void
+call_next(struct platform_poll *poll)
+{
+    call_after(poll, poll->sent_ms + poll->platform->poll_pace_ms -
+                         base_clock_ms());
+}
+
+static void
+note_answer(struct platform_poll *poll)
+{
+    int64_t now_ms = base_clock_ms();
+    int64_t outage_ms = poll->failed_ms > 0 ? now_ms - poll->failed_ms : 0;
+    struct platform_event *event;
+
+    poll->failures = 0;
+    poll->failed_ms = 0;
+    poll->answered_ms = now_ms;
+    if (outage_ms < OUTAGE_MS) {
+        return;
+    }
+    base_log(BASE_LOG_NOTICE, "kv.regained",
+             "prefix=%s outage_ms=%" G_GINT64_FORMAT
+             " revision=%" G_GINT64_FORMAT,
+             poll->desc.prefix, outage_ms, poll->revision);
+    event = new_event(poll);
+    event->is_regained = true;
+    event->outage_ms = outage_ms;
+    send_event(poll, event);
+}
+
+static void
+note_failure(struct platform_poll *poll, int status)
+{
+    if (poll->failed_ms == 0) {
+        poll->failed_ms = poll->sent_ms;
+        base_log(BASE_LOG_NOTICE, "kv.lost",
+                 "prefix=%s endpoint=%s status=%d revision=%" G_GINT64_FORMAT,
+                 poll->desc.prefix, poll->endpoint, status, poll->revision);
+    }
+    platform_count(poll->platform, "kv_watch_reopened_total", 1);
+    platform_endpoint_failed(poll->platform, poll->endpoint);
+    call_after(poll, platform_backoff_ms(poll->failures));
+    poll->failures++;
+}
+
+static void
+begin_listing(struct platform_poll *poll)
+{
+    platform_kv_free(poll->list);
+    poll->list = platform_kv_new(PLATFORM_LIST, poll->desc.prefix);
+    poll->revision = 0;
+}
+
+static void
+finish_listing(struct platform_poll *poll)
+{
+    struct platform_event *event = new_event(poll);
+
+    event->is_reset = true;
+    event->listing = g_steal_pointer(&poll->list->entries);
+    poll->list->entries = g_ptr_array_new();
+    poll->revision = poll->list->revision;
+    platform_kv_free(poll->list);
+    poll->list = NULL;
+    note_answer(poll);
+    send_event(poll, event);
+    call_next(poll);
+}
+
+static void
+on_page(struct platform_poll *poll, const struct platform_http_result *result)
+{
+    enum platform_decoded decoded = PLATFORM_DECODE_BAD;
+    int64_t first_revision = poll->list->revision;
+
+    if (result->is_complete) {
+        decoded = poll->platform->dialect->decode(poll->list, false,
+                                                  result->status, result->body,
+                                                  result->size);
+    }
+    /* Pages are not of one moment: what changes meanwhile is told by the
+     * calls that follow the first page's revision. */
+    if (first_revision > 0) {
+        poll->list->revision = first_revision;
+    }
+    if (decoded == PLATFORM_DECODE_MORE) {
+        call_after(poll, 0);
+    }
+    else if (decoded == PLATFORM_DECODED &&
+             poll->list->status == PLATFORM_OK) {
+        finish_listing(poll);
+    }
+    else {
+        begin_listing(poll);
+        note_failure(poll, result->status);
+    }
+}
+
+static void
+send_changes(struct platform_poll *poll, GPtrArray *changes)
+{
+    for (guint i = 0; i < changes->len; i++) {
+        struct platform_change *change = changes->pdata[i];
+        struct platform_event *event = new_event(poll);
+        event->is_delete = change->is_delete;
+        event->entry = change->entry;
+        memset(&change->entry, 0, sizeof(change->entry));
+        send_event(poll, event);
+    }
+}
+
+static void
+on_changes(struct platform_poll *poll,
+           const struct platform_http_result *result)
+{
+    struct platform_changes changes = {0};
+    enum platform_polled polled = PLATFORM_POLL_BAD;
+
+    if (result->is_complete) {
+        polled = poll->platform->dialect->decode_poll(
+            result->status, result->body, result->size, &changes);
+    }
+    switch (polled) {
+    case PLATFORM_POLLED:
+        poll->is_busy = changes.events->len > 0;
+        poll->revision = MAX(poll->revision, changes.revision);
+        note_answer(poll);
+        send_changes(poll, changes.events);
+        g_ptr_array_free(changes.events, TRUE);
+        call_next(poll);
+        return;
+    case PLATFORM_POLL_BEHIND:
+        base_log(BASE_LOG_NOTICE, "kv.history_lost",
+                 "prefix=%s revision=%" G_GINT64_FORMAT, poll->desc.prefix,
+                 poll->revision);
+        begin_listing(poll);
+        call_after(poll, 0);
+        return;
+    case PLATFORM_POLL_BAD:
+        note_failure(poll, result->status);
+        return;
+    }
+}
+
+static void
+on_done(void *context, const struct platform_http_result *result)
+{
+    struct platform_poll *poll = context;
+
+    poll->http = NULL;
+    if (poll->list != NULL) {
+        on_page(poll, result);
+    }
+    else {
+        on_changes(poll, result);
+    }
+}
+
+static void
+send_call(struct platform_turn *turn)
+{
+    static const struct platform_http_ops OPS = {on_done, NULL};
+    struct platform_poll *poll =
+        lws_container_of(turn, struct platform_poll, turn);
+    struct platform *platform = poll->platform;
+    int64_t wait_ms = poll->is_busy ? BUSY_WAIT_MS : WAIT_MS;
+    struct platform_form form = {0};
+
+    if (poll->list != NULL) {
+        platform->dialect->encode(poll->list, &form);
+        platform_count(platform, "kv_calls_total{op=\"list\"}", 1);
+    }
+    else {
+        platform->dialect->encode_poll(poll->desc.prefix, poll->revision,
+                                       wait_ms, &form);
+        platform_count(platform, "kv_calls_total{op=\"watch\"}", 1);
+    }
+    poll->sent_ms = base_clock_ms();
+    poll->endpoint = platform_endpoint(platform);
+    poll->http = platform_http_send(
+        &platform->http,
+        &(struct platform_http_request){
+            .ops = &OPS,
+            .context = poll,
+            .address = poll->endpoint,
+            .method = form.method,
+            .path = form.path,
+            .body = form.body,
+            .timeout_ms = poll->list != NULL ? LIST_MS : wait_ms + ANSWER_MS});
+    g_free(form.path);
+}
+
+static void
+free_poll(struct platform_poll *poll)
+{
+    struct platform *platform = poll->platform;
+
+    if (poll->http != NULL) {
+        platform_http_cancel(poll->http);
+    }
+    platform_turn_drop(platform, &poll->turn);
+    lws_sul_cancel(&poll->timer);
+    platform_kv_free(poll->list);
+    g_hash_table_remove(platform->polls, &poll->desc.id);
+    g_free(poll->desc.prefix);
+    g_free(poll);
+}
+
+/* Begins a watch by calls. */
+void
+platform_poll_begin(struct platform *platform,
+                    const struct platform_watch_desc *desc)
+{
+    struct platform_poll *poll = g_new0(struct platform_poll, 1);
+
+    poll->platform = platform;
+    poll->desc = *desc;
+    platform_turn_init(&poll->turn, send_call, false);
+    g_hash_table_insert(platform->polls, &poll->desc.id, poll);
+    begin_listing(poll);
+    if (platform_endpoint(platform) != NULL) {
+        call_after(poll, 0);
+    }
+}
+
+/* Ends a watch by calls; false when there is none of this number. */
+bool
+platform_poll_end(struct platform *platform, uint64_t id)
+{
+    struct platform_poll *poll = g_hash_table_lookup(platform->polls, &id);
+
+    if (poll == NULL) {
+        return false;
+    }
+    free_poll(poll);
+    return true;
+}
+
+/* Ends every watch by calls; the task is ending. */
+void
+platform_polls_drop(struct platform *platform)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    while (g_hash_table_iter_init(&iter, platform->polls),
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        free_poll(value);
+    }
+}
--- a/packages/platform/task.c
+++ b/packages/platform/task.c
@@ -6,6 +6,7 @@
     DEFAULT_TIMEOUT_MS = 2000,
     DEFAULT_SILENCE_MS = 3000,
     DEFAULT_CALLS_PER_S = 20,
+    DEFAULT_POLL_PACE_MS = 500,
     FIRST_BACKOFF_MS = 50,
     MAX_BACKOFF_DOUBLINGS = 4,
 };
@@ -148,6 +149,7 @@
     }
     platform_attempts_drop(platform);
     platform_watches_drop(platform);
+    platform_polls_drop(platform);
     platform_list_calls_drop(platform);
     lws_sul_cancel(&platform->budget_timer);
 }
@@ -172,6 +174,10 @@
         desc->call_timeout_ms > 0 ? desc->call_timeout_ms : DEFAULT_TIMEOUT_MS;
     platform->silence_ms =
         desc->silence_ms > 0 ? desc->silence_ms : DEFAULT_SILENCE_MS;
+    platform->poll_pace_ms =
+        desc->poll_pace_ms > 0 ? desc->poll_pace_ms : DEFAULT_POLL_PACE_MS;
+    platform->dialect =
+        desc->dialect != NULL ? desc->dialect : &platform_etcd;
     platform->counters = desc->counters;
     platform_budget_init(&platform->budget,
                          desc->calls_per_s > 0 ? desc->calls_per_s
@@ -179,6 +185,7 @@
                          base_clock_ms());
     platform->attempts = g_hash_table_new(g_direct_hash, g_direct_equal);
     platform->watches = g_hash_table_new(g_int64_hash, g_int64_equal);
+    platform->polls = g_hash_table_new(g_int64_hash, g_int64_equal);
     platform->list_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
     platform->http.woken = ignore_wake;
 }
@@ -189,6 +196,7 @@
     g_ptr_array_free(platform->kv, TRUE);
     g_hash_table_destroy(platform->attempts);
     g_hash_table_destroy(platform->watches);
+    g_hash_table_destroy(platform->polls);
     g_hash_table_destroy(platform->list_calls);
     g_free(platform->host_list);
     g_free(platform->weight_store);
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -218,7 +218,7 @@
     fake.start();
     Client client({fake.address()});
     struct platform_kv *kv = platform_kv_new(PLATFORM_LEASE_GRANT, nullptr);
-    kv->ttl_s = 5;
+    kv->ttl_ms = 5000;
     kv = client.call(kv);
     ASSERT_EQ(kv->status, PLATFORM_OK);
     int64_t lease = kv->lease;
--- a/packages/platform/watch.c
+++ b/packages/platform/watch.c
@@ -57,33 +57,52 @@
     struct platform_event *event = (struct platform_event *)call;
 
     platform_entry_finish(&event->entry);
+    if (event->listing != NULL) {
+        g_ptr_array_free(event->listing, TRUE);
+    }
     g_free(event);
 }
 
-static struct platform_event *
-new_event(const struct platform_watcher *watcher)
+/* An event for a watch's owner, to be filled in and sent. */
+struct platform_event *
+platform_event_new(void (*happened)(struct platform_event *event,
+                                    void *task_state),
+                   void *context)
 {
     struct platform_event *event = g_new0(struct platform_event, 1);
 
-    event->happened = watcher->happened;
-    event->context = watcher->context;
+    event->happened = happened;
+    event->context = context;
     return event;
 }
 
+/* Hands an event to the watch's owner. */
+void
+platform_event_send(struct platform_event *event, struct base_task *to)
+{
+    static const struct base_call_ops OPS = {event_serve, NULL, event_drop};
+
+    base_call_send(&event->call, &OPS, to, NULL);
+}
+
+static struct platform_event *
+new_event(const struct platform_watcher *watcher)
+{
+    return platform_event_new(watcher->happened, watcher->context);
+}
+
 static void
 send_event(const struct platform_watcher *watcher,
            struct platform_event *event)
 {
-    static const struct base_call_ops OPS = {event_serve, NULL, event_drop};
-
-    base_call_send(&event->call, &OPS, watcher->to, NULL);
+    platform_event_send(event, watcher->to);
 }
 
 static void
 send_changes(const struct platform_watcher *watcher, GPtrArray *changes)
 {
     for (guint i = 0; i < changes->len; i++) {
-        struct platform_watch_change *change = changes->pdata[i];
+        struct platform_change *change = changes->pdata[i];
         struct platform_event *event = new_event(watcher);
         event->is_delete = change->is_delete;
         event->entry = change->entry;
@@ -281,9 +300,19 @@
     struct platform_watcher *watcher =
         g_hash_table_lookup(platform->watches, &request->id);
 
-    if (request->prefix != NULL) {
+    if (request->prefix != NULL && platform->dialect->encode_poll != NULL) {
+        platform_poll_begin(platform,
+                            &(struct platform_watch_desc){
+                                request->id,
+                                g_steal_pointer(&request->prefix), request->to,
+                                request->context, request->happened});
+    }
+    else if (request->prefix != NULL) {
         begin_watch(platform, request);
     }
+    else if (platform_poll_end(platform, request->id)) {
+        platform_count(platform, "kv_watches_ended_total", 1);
+    }
     else if (watcher != NULL) {
         free_watcher(watcher);
     }
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &control__leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__registration__init
+                     (Control__Registration         *message)
+{
+  static const Control__Registration init_value = CONTROL__REGISTRATION__INIT;
+  *message = init_value;
+}
+size_t control__registration__get_packed_size
+                     (const Control__Registration *message)
+{
+  assert(message->base.descriptor == &control__registration__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__registration__pack
+                     (const Control__Registration *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__registration__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__registration__pack_to_buffer
+                     (const Control__Registration *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__registration__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__Registration *
+       control__registration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__Registration *)
+     protobuf_c_message_unpack (&control__registration__descriptor,
+                                allocator, len, data);
+}
+void   control__registration__free_unpacked
+                     (Control__Registration *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__registration__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__news__init
                      (Control__News         *message)
 {
@@ -2218,7 +2263,84 @@
   (ProtobufCMessageInit) control__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__news__field_descriptors[3] =
+static const ProtobufCFieldDescriptor control__registration__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__Registration, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Registration, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Control__Registration, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_gone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Control__Registration, is_gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__registration__field_indices_by_name[] = {
+  3,   /* field[3] = is_gone */
+  0,   /* field[0] = key */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = value */
+};
+static const ProtobufCIntRange control__registration__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor control__registration__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.Registration",
+  "Registration",
+  "Control__Registration",
+  "control",
+  sizeof(Control__Registration),
+  4,
+  control__registration__field_descriptors,
+  control__registration__field_indices_by_name,
+  1,  control__registration__number_ranges,
+  (ProtobufCMessageInit) control__registration__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__news__field_descriptors[4] =
 {
   {
     "world_revision",
@@ -2256,16 +2378,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__News, n_servers),
+    offsetof(Control__News, servers),
+    &control__registration__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__news__field_indices_by_name[] = {
   1,   /* field[1] = from_address */
   2,   /* field[2] = leaving */
+  3,   /* field[3] = servers */
   0,   /* field[0] = world_revision */
 };
 static const ProtobufCIntRange control__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor control__news__descriptor =
 {
@@ -2275,7 +2410,7 @@
   "Control__News",
   "control",
   sizeof(Control__News),
-  3,
+  4,
   control__news__field_descriptors,
   control__news__field_indices_by_name,
   1,  control__news__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Control__Handover Control__Handover;
 typedef struct Control__Audit Control__Audit;
 typedef struct Control__Leaving Control__Leaving;
+typedef struct Control__Registration Control__Registration;
 typedef struct Control__News Control__News;
 typedef struct Control__RecordPull Control__RecordPull;
 typedef struct Control__Record Control__Record;
@@ -293,6 +294,22 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * A backend server's own entry in the key-value service. 
+ */
+struct  Control__Registration
+{
+  ProtobufCMessage base;
+  char *key;
+  int64_t revision;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean is_gone;
+};
+#define CONTROL__REGISTRATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__registration__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+
+
 struct  Control__News
 {
   ProtobufCMessage base;
@@ -300,10 +317,12 @@
   char *from_address;
   size_t n_leaving;
   Control__Leaving **leaving;
+  size_t n_servers;
+  Control__Registration **servers;
 };
 #define CONTROL__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__news__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 struct  Control__RecordPull
@@ -640,6 +659,25 @@
 void   control__leaving__free_unpacked
                      (Control__Leaving *message,
                       ProtobufCAllocator *allocator);
+/* Control__Registration methods */
+void   control__registration__init
+                     (Control__Registration         *message);
+size_t control__registration__get_packed_size
+                     (const Control__Registration   *message);
+size_t control__registration__pack
+                     (const Control__Registration   *message,
+                      uint8_t             *out);
+size_t control__registration__pack_to_buffer
+                     (const Control__Registration   *message,
+                      ProtobufCBuffer     *buffer);
+Control__Registration *
+       control__registration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__registration__free_unpacked
+                     (Control__Registration *message,
+                      ProtobufCAllocator *allocator);
 /* Control__News methods */
 void   control__news__init
                      (Control__News         *message);
@@ -782,6 +820,9 @@
 typedef void (*Control__Leaving_Closure)
                  (const Control__Leaving *message,
                   void *closure_data);
+typedef void (*Control__Registration_Closure)
+                 (const Control__Registration *message,
+                  void *closure_data);
 typedef void (*Control__News_Closure)
                  (const Control__News *message,
                   void *closure_data);
@@ -818,6 +859,7 @@
 extern const ProtobufCMessageDescriptor control__handover__descriptor;
 extern const ProtobufCMessageDescriptor control__audit__descriptor;
 extern const ProtobufCMessageDescriptor control__leaving__descriptor;
+extern const ProtobufCMessageDescriptor control__registration__descriptor;
 extern const ProtobufCMessageDescriptor control__news__descriptor;
 extern const ProtobufCMessageDescriptor control__record_pull__descriptor;
 extern const ProtobufCMessageDescriptor control__record__descriptor;
--- a/packages/world/world.c
+++ b/packages/world/world.c
@@ -64,6 +64,18 @@
     g_free(deployment->servers);
 }
 
+static void
+free_ingress(struct world *world)
+{
+    for (int i = 0; i < world->n_ingress; i++) {
+        g_free(world->ingress[i].name);
+        g_free(world->ingress[i].host);
+        g_free(world->ingress[i].prefix);
+        g_free(world->ingress[i].splits);
+    }
+    g_free(world->ingress);
+}
+
 static void
 free_places(struct world *world)
 {
@@ -96,6 +108,7 @@
         free_deployment(&world->deployments[i]);
     }
     g_free(world->deployments);
+    free_ingress(world);
     free_places(world);
     if (world->keys != NULL) {
         g_hash_table_destroy(world->keys);
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -93,10 +93,45 @@
     double batch_share;  /* of a server's window, at most, for batch */
     double change_share; /* of the servers, changed at one time */
     int min_ready;       /* never fewer ready servers than this */
+    int64_t cache_tokens; /* a server's memory for prompts; 0: not known */
     int *servers;
     int n_servers;
 };
 
+/* What may be repeated of the requests of a route. */
+enum world_ingress_kind {
+    WORLD_INGRESS_SAFE,   /* may run more than once */
+    WORLD_INGRESS_UNSAFE, /* at most once */
+    WORLD_INGRESS_STREAM, /* at most once, unless it may be resumed */
+    WORLD_INGRESS_BATCH,  /* jobs of items that run later */
+};
+
+/* A part of a route's requests that goes to one deployment. */
+struct world_split {
+    int deployment;
+    double weight;
+};
+
+/* A route by host and path, on sites that have them. */
+struct world_ingress {
+    char *name;
+    char *host;
+    char *prefix; /* begins and ends with a slash */
+    enum world_ingress_kind kind;
+    struct world_split *splits;
+    int n_splits;
+    int64_t timeout_ms;    /* the longest wait for the whole answer */
+    int64_t target_ms;     /* for the first piece; of a job, its acceptance */
+    int64_t gap_target_ms; /* between pieces */
+    int max_attempts;      /* servers that may run one request */
+    int priority;          /* 0 is the highest */
+    bool is_resumable;     /* a stream may go on at another server */
+    /* batch only */
+    int64_t completion_ms;      /* all results are due after this */
+    int64_t retention_ms;       /* an item may be given up after this */
+    int64_t max_waiting_tokens; /* of accepted items; 0: no limit */
+};
+
 struct world_server {
     char *name;
     char *host; /* an IP number */
@@ -111,6 +146,8 @@
 struct world_limits {
     int64_t body_bytes;
     int64_t header_bytes;
+    int64_t header_ms;   /* for a request's head to arrive; 0: the default */
+    int64_t idle_ms;     /* a kept connection at rest; 0: the default */
     int64_t deadline_ms; /* of a request that names none */
     int64_t max_deadline_ms;
     int64_t silence_ms; /* an open connection without a sign of life */
@@ -147,6 +184,8 @@
     int n_deployments;
     struct world_server *servers;
     int n_servers;
+    struct world_ingress *ingress;
+    int n_ingress;
     struct world_limits limits;
     struct world_batch batch;
     GHashTable *keys; /* index of world_find_operator_by_key */
