--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -130,6 +130,12 @@
         note_grant(control, kept, event->holder, event->contract, ask->class_,
                    event->slots);
     }
+    base_log(BASE_LOG_DEBUG, "keeper.answered",
+             "server=%s holder=%s ask=%" G_GINT64_MODIFIER
+             "x class=%d answer=%s window=%d online=%d batch=%d queued=%d",
+             kept->server, event->holder, event->ask_id, ask->class_,
+             RESULTS[event->answer], event->load.window, event->load.online,
+             event->load.batch, event->load.queued);
     end_span(control, ask, RESULTS[event->answer]);
     ask->is_answered = true;
     ask->answered_ms = control->now_ms;
@@ -234,6 +240,9 @@
               sizeof(kept->server));
     kept->keeper = contracts_keeper_new(&desc);
     g_hash_table_insert(control->keep.servers, kept->server, kept);
+    base_log(BASE_LOG_INFO, "keeper.began",
+             "server=%s slots=%d nodes=%d cautious=%d", kept->server,
+             desc.slots, control->view->n_nodes, is_rebuilding);
     follow_leaving(control, kept, server);
     control_handover_apply(control, kept);
 }
@@ -269,6 +278,8 @@
     GPtrArray *moved = g_ptr_array_new_with_free_func(g_free);
 
     g_strlcpy(server, name, sizeof(server));
+    base_log(BASE_LOG_INFO, "keeper.stopped", "server=%s nodes=%d", server,
+             control->view->n_nodes);
     g_hash_table_remove(control->keep.servers, server);
     g_hash_table_foreach_remove(control->keep.granted, is_of_server, server);
     g_hash_table_iter_init(&iter, control->keep.asks);
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -417,11 +417,13 @@
     const struct exchange *exchange = attempt->exchange;
 
     base_log(BASE_LOG_INFO, "front.sent",
-             "id=%s server=%s try=%d asked=%d local_share=%d left_ms="
-             "%" G_GINT64_FORMAT " resumed_after=%s revision="
-             "%" G_GINT64_FORMAT,
+             "id=%s server=%s try=%d asked=%d queued=%d local_share=%d "
+             "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+             " resumed_after=%s revision=%" G_GINT64_FORMAT,
              exchange->request->id, attempt->server_name,
-             exchange->n_attempts, attempt->n_asked, attempt->is_local_share,
+             exchange->n_attempts, attempt->n_asked, attempt->is_queued,
+             attempt->is_local_share,
+             (attempt->sent_us - exchange->request->started_us) / 1000,
              left_ms(attempt),
              exchange->resume_after != NULL ? exchange->resume_after : "-",
              exchange->world->revision);
--- a/packages/front/exchange.c
+++ b/packages/front/exchange.c
@@ -323,7 +323,13 @@
         backends_set_silence(&front->backends, attempt->call,
                              exchange->world->limits.silence_ms);
     }
+    if (exchange->tokens > 0) {
+        exchange->longest_gap_us =
+            MAX(exchange->longest_gap_us, now_us - exchange->last_us);
+    }
+    exchange->last_us = now_us;
     if (exchange->tokens == 0) {
+        exchange->first_us = now_us;
         front_metrics_first_token(&front->metrics,
                                   now_us - exchange->request->started_us);
     }
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -118,6 +118,9 @@
     bool is_committed; /* the caller has part of an answer that can't resume */
     bool needs_resume; /* the next attempt goes on from `tokens` */
     int tokens;        /* relayed */
+    int64_t first_us;  /* of the first of them, on base_clock_us */
+    int64_t last_us;
+    int64_t longest_gap_us;
     enum base_verdict verdict;
     char last_error[128];
     lws_sorted_usec_list_t hedge_timer;
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -246,11 +246,29 @@
     front_respond(request, status, content_type, body->str, body->len);
 }
 
+static void
+log_whole(const struct exchange *exchange, const struct attempt *attempt)
+{
+    int64_t started_us = exchange->request->started_us;
+
+    base_log(BASE_LOG_INFO, "front.relayed",
+             "id=%s server=%s status=%d tries=%d events=%d first_ms=%"
+             G_GINT64_FORMAT " server_first_ms=%" G_GINT64_FORMAT
+             " longest_gap_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
+             exchange->request->id, attempt->server_name, attempt->status,
+             exchange->n_attempts, exchange->tokens,
+             exchange->tokens > 0 ? (exchange->first_us - started_us) / 1000
+                                  : 0,
+             attempt->first_token_us / 1000, exchange->longest_gap_us / 1000,
+             (base_clock_us() - started_us) / 1000);
+}
+
 static void
 on_whole(struct exchange *exchange, struct attempt *attempt)
 {
     struct front_request *request = exchange->request;
 
+    log_whole(exchange, attempt);
     if (attempt->is_event_stream || exchange->is_committed) {
         begin_stream(exchange, attempt);
         front_stream_end(request);
--- a/packages/platform/http.c
+++ b/packages/platform/http.c
@@ -7,6 +7,9 @@
     WRITE_BYTES = 16384,
     READ_BYTES = 16384,
     MAX_ANSWER_BYTES = 256 << 20,
+    /* The library's own limits would cut long waits; the calls' timers are
+     * the ones that count. */
+    LIBRARY_TIMEOUT_S = 24 * 3600,
 };
 
 struct platform_http_call {
@@ -237,6 +240,9 @@
     info.gid = (gid_t)-1;
     info.uid = (uid_t)-1;
     info.user = http;
+    info.timeout_secs = LIBRARY_TIMEOUT_S;
+    info.timeout_secs_ah_idle = LIBRARY_TIMEOUT_S;
+    info.connect_timeout_secs = LIBRARY_TIMEOUT_S;
     info.fd_limit_per_thread = CONNECTIONS;
     info.http_proxy_address = "none:0"; /* ignores the environment's */
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
