Let batch fill a site's free slots and give them to online asks at once

Ruled out: engines (server_first_ms was fine), the runner (asks were out).

Change: contracts_keeper_desc.batch_fills, set for sites: no reserve, and an ask that may not wait is queued for 150 ms where batch holds a slot for it, instead of a busy answer.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -103,6 +103,10 @@
     double inter_token_target_ms;
     double long_share;
     double batch_share;
+    /* Batch may hold every free slot: there is no reserve, and an online ask
+     * waits a moment for the slot that batch gives back instead of being told
+     * that the server is busy. */
+    bool batch_fills;
     bool is_rebuilding; /* after a change of keeper: grant a cautious share
                            until the holders' reports are in */
     uint64_t id_seed;   /* of contract numbers; 0: from now_ms */
--- a/packages/contracts/keeper.c
+++ b/packages/contracts/keeper.c
@@ -7,6 +7,9 @@
     REBUILD_DIVISOR = 4,
     /* Asks that may wait, for each request of the window. */
     QUEUE_PER_SLOT = 4,
+    /* For a slot that batch gives back: its holder may be a region away, and
+     * its server notices a closed stream within some ms. */
+    DISPLACE_MS = 150,
 };
 
 /* Online contracts held. */
@@ -250,10 +253,20 @@
     return true;
 }
 
+/* Whether batch holds a slot that no other waiting ask will get. */
+static bool
+may_displace(const struct contracts_keeper *keeper)
+{
+    return keeper->desc.batch_fills && keeper->rebuild_until_ms == 0 &&
+           keeper->held[CONTRACTS_BATCH] > queue_count(&keeper->queue);
+}
+
 static void
-ask_online(struct contracts_keeper *keeper, const struct contracts_ask *ask,
+ask_online(struct contracts_keeper *keeper, const struct contracts_ask *asked,
            int64_t now_ms, GArray *out)
 {
+    struct contracts_ask own = *asked;
+    const struct contracts_ask *ask = &own;
     bool has_room =
         ask->class_ == CONTRACTS_ONLINE_SHORT || keeper_long_room(keeper) > 0;
 
@@ -262,6 +275,9 @@
         keeper_answer(keeper, ask, CONTRACTS_BUSY, NULL, now_ms, out);
         return;
     }
+    if (own.wait_ms <= 0 && has_room && may_displace(keeper)) {
+        own.wait_ms = DISPLACE_MS;
+    }
     if (has_room && keeper_waiting(keeper) == 0 && keeper_free(keeper) > 0) {
         grant(keeper, ask, now_ms, out);
     }
--- a/packages/contracts/keeper_batch.c
+++ b/packages/contracts/keeper_batch.c
@@ -14,12 +14,19 @@
     return (int)(keeper->desc.batch_share * window_size(&keeper->window));
 }
 
+/* Slots to keep free of batch for the next online asks. */
+static int
+reserved(const struct contracts_keeper *keeper)
+{
+    return keeper->desc.batch_fills ? 0 : reserve_size(&keeper->reserve);
+}
+
 /* Slots that batch may take now: what online and its reserve leave.  While
  * slots are asked back there are none, or they would go round in a circle. */
 static int
 batch_room(const struct contracts_keeper *keeper)
 {
-    int unheld = keeper_free(keeper) - reserve_size(&keeper->reserve);
+    int unheld = keeper_free(keeper) - reserved(keeper);
     int room = MIN(unheld, batch_cap(keeper) - keeper->held[CONTRACTS_BATCH]);
 
     if (keeper->is_leaving || keeper->rebuild_until_ms != 0 ||
@@ -194,7 +201,7 @@
 {
     int batch = keeper->held[CONTRACTS_BATCH];
     int room = window_size(&keeper->window) - keeper_online(keeper) -
-               keeper_waiting(keeper) - reserve_size(&keeper->reserve);
+               keeper_waiting(keeper) - reserved(keeper);
 
     if (keeper->is_leaving) {
         return batch;
--- a/packages/contracts/test_keeper.cc
+++ b/packages/contracts/test_keeper.cc
@@ -33,6 +33,48 @@
               0);
 }
 
+TEST(Keeper, WhereBatchFillsAnAskThatMayNotWaitGetsABatchSlot)
+{
+    struct contracts_keeper_desc desc = make_desc(4);
+    desc.batch_fills = true;
+    Table table(desc);
+
+    auto said = table.ask(make_ask(1, CONTRACTS_BATCH, 0, 8), 10);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].slots, 4) << "no reserve";
+    uint64_t bulk = said[0].contract;
+
+    said = table.ask(make_ask(2, CONTRACTS_ONLINE_SHORT, 0, 0), 20);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].kind, CONTRACTS_YIELD);
+    EXPECT_EQ(said[0].slots, 1);
+    said = table.shrink(bulk, 3, 30);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].answer, CONTRACTS_GRANTED);
+    EXPECT_EQ(said[0].ask_id, 2u);
+}
+
+TEST(Keeper, WhereBatchFillsAnAskIsBusyOnceNoBatchSlotIsLeftForIt)
+{
+    struct contracts_keeper_desc desc = make_desc(2);
+    desc.batch_fills = true;
+    Table table(desc);
+
+    table.ask(make_ask(1, CONTRACTS_ONLINE_SHORT, 0, 0), 10);
+    table.ask(make_ask(2, CONTRACTS_BATCH, 0, 1), 10);
+    auto said = table.ask(make_ask(3, CONTRACTS_ONLINE_SHORT, 0, 0), 20);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].kind, CONTRACTS_YIELD);
+    said = table.ask(make_ask(4, CONTRACTS_ONLINE_SHORT, 0, 0), 21);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].answer, CONTRACTS_BUSY);
+    /* Batch that does not come back leaves the ask busy, not hanging. */
+    said = table.tick(400);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].answer, CONTRACTS_BUSY);
+    EXPECT_EQ(said[0].ask_id, 3u);
+}
+
 TEST(Keeper, AnswersByCases)
 {
     struct {
--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -203,6 +203,7 @@
         .inter_token_target_ms = deployment->inter_token_target_ms,
         .long_share = deployment->long_share,
         .batch_share = deployment->batch_share,
+        .batch_fills = deployment->batch_fills,
         .is_rebuilding = is_rebuilding,
         .now_ms = control->now_ms,
     };
--- a/packages/world/site.c
+++ b/packages/world/site.c
@@ -17,7 +17,7 @@
 /* A retry follows only a request that did not run or may run twice, so a
  * larger share than the document's default is safe. */
 static const double RETRY_RATIO = 1.0;
-/* Batch is bounded by the reserve and gives slots back at once. */
+/* Batch gives slots back within some ms, against aims of some 100 ms. */
 static const double BATCH_SHARE = 1.0;
 
 /* Frees a site; NULL is allowed. */
@@ -155,6 +155,7 @@
         deployment->long_tokens = LONG_TOKENS;
         deployment->long_share = 1.0;
         deployment->batch_share = BATCH_SHARE;
+        deployment->batch_fills = true;
         deployment->change_share = 1.0;
         deployment->cache_tokens = site->services[i].cache_tokens;
         set_targets(deployment, site);
