Take jobs whose runner is gone wherever it ran; no second stream on a site

Ruled out: leases (old runners were gone from the listing after 3 s). A late first token also made keepers stall a site's servers at the 97th percentile (answer=busy window=1 online=0 with free slots).

Change: all nodes look, scanners often and they take the jobs; a look follows a lost node, not every change of the view; sites watch no first token, for there a second attempt follows the first one's end.

--- a/packages/front/hedge.c
+++ b/packages/front/hedge.c
@@ -120,13 +120,16 @@
     }
 }
 
-/* Watches the first token of an idempotent request's only attempt. */
+/* Watches the first token of an idempotent request's only attempt.  On a site
+ * a stream runs at one server at a time, so there a second attempt follows
+ * the end of the first. */
 void
 exchange_watch(struct exchange *exchange)
 {
     const struct attempt *only = find_only_waiting(exchange);
 
-    if (only != NULL && exchange->place.is_idempotent &&
+    if (only != NULL && exchange->edge == NULL &&
+        exchange->place.is_idempotent &&
         !exchange->front->is_naive) {
         schedule_hedge(exchange, only);
     }
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -6,6 +6,7 @@
     KEEP_PART = 3,           /* the lease is renewed in this part of its time */
     LEASE_RETRY_MS = 300,
     SCAN_MS = 2000,          /* between looks at all heads, of a scanner */
+    IDLE_SCAN_MS = 6000,     /* of any other node */
     SCAN_RETRY_MS = 500,
     SOON_MS = 200,           /* after a sign that a look is worth it */
     SCANNERS = 3,            /* nodes that look also without jobs */
@@ -275,17 +276,53 @@
 
 /* ---- looking ---- */
 
-/* Which of the living runners takes a job: the same one for all who look. */
+/* A few nodes, by hash, look for jobs without a runner often, and take them;
+ * the name is a node's. */
+static bool
+is_scanner(const struct jobs *jobs, const char *name)
+{
+    uint64_t own = base_hash_text(name, 0);
+    int n_before = 0;
+
+    for (int i = 0; jobs->view != NULL && i < jobs->view->n_nodes; i++) {
+        const struct members_node *node = &jobs->view->nodes[i];
+        if (members_takes_work(node) && node->http_address[0] != '\0' &&
+            base_hash_text(node->name, 0) > own) {
+            n_before++;
+        }
+    }
+    return n_before < SCANNERS;
+}
+
+static bool
+is_scanning_runner(const struct jobs *jobs, const char *runner)
+{
+    char *name = g_strndup(runner, strcspn(runner, "#"));
+    bool is_one = is_scanner(jobs, name);
+
+    g_free(name);
+    return is_one;
+}
+
+/* Whether this node takes a job: of the living scanners, or of all runners
+ * where no scanner lives, the one that the job's hash picks. */
 static bool
 is_next_runner(const struct jobs *jobs, GHashTable *living, const char *id)
 {
-    uint64_t own = base_hash_text(jobs->runner, base_hash_text(id, 0));
+    uint64_t seed = base_hash_text(id, 0);
+    uint64_t own = base_hash_text(jobs->runner, seed);
+    bool am_scanner = is_scanner(jobs, jobs->node);
     GHashTableIter iter;
     gpointer key;
 
     g_hash_table_iter_init(&iter, living);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        if (base_hash_text(key, base_hash_text(id, 0)) > own) {
+        bool is_other_scanner = is_scanning_runner(jobs, key);
+        if (is_other_scanner && !am_scanner) {
+            return false;
+        }
+        if (is_other_scanner == am_scanner &&
+            base_hash_text(key, seed) > own) {
             return false;
         }
     }
@@ -363,30 +400,13 @@
         n_claims += look_at(jobs, &head, entry->revision, living);
         jobs_head_finish(&head);
     }
+    base_log(BASE_LOG_DEBUG, "jobs.looked",
+             "entries=%u runners=%u claims=%d revision=%" G_GINT64_FORMAT,
+             kv->entries->len, g_hash_table_size(living), n_claims,
+             kv->revision);
     g_hash_table_destroy(living);
 }
 
-/* A few nodes, by hash, look for jobs without a runner; so does every node
- * that runs jobs, to hear that a client ended one. */
-static bool
-is_scanner(const struct jobs *jobs)
-{
-    uint64_t own = base_hash_text(jobs->node, 0);
-    int n_before = 0;
-
-    if (jobs->view == NULL || g_hash_table_size(jobs->runs) > 0) {
-        return true;
-    }
-    for (int i = 0; i < jobs->view->n_nodes; i++) {
-        const struct members_node *node = &jobs->view->nodes[i];
-        if (members_takes_work(node) && node->http_address[0] != '\0' &&
-            base_hash_text(node->name, 0) > own) {
-            n_before++;
-        }
-    }
-    return n_before < SCANNERS;
-}
-
 /* Looks at all jobs shortly. */
 void
 jobs_scan_soon(struct jobs *jobs)
@@ -402,14 +422,16 @@
 void
 jobs_scan_tick(struct jobs *jobs, int64_t now_ms)
 {
+    bool is_often;
+
     if (jobs->is_scanning || now_ms < jobs->scan_ms ||
         !jobs_holds_lease(jobs) || g_atomic_int_get(&jobs->is_draining)) {
         return;
     }
-    jobs->scan_ms = now_ms + SCAN_MS;
-    if (!is_scanner(jobs)) {
-        return;
-    }
+    /* A node that runs jobs hears here that a client ended one. */
+    is_often = jobs->view == NULL || g_hash_table_size(jobs->runs) > 0 ||
+               is_scanner(jobs, jobs->node);
+    jobs->scan_ms = now_ms + (is_often ? SCAN_MS : IDLE_SCAN_MS);
     jobs->is_scanning = true;
     jobs_kv(jobs, platform_kv_new(PLATFORM_LIST, JOBS_ACTIVE_PREFIX),
             (struct jobs_next){on_scanned, NULL});
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -202,14 +202,25 @@
     g_free(update);
 }
 
+static int
+count_working(const struct members_view *view)
+{
+    int n_working = 0;
+
+    for (int i = 0; i < view->n_nodes; i++) {
+        n_working += members_takes_work(&view->nodes[i]) ? 1 : 0;
+    }
+    return n_working;
+}
+
 static void
 serve_update(struct base_call *call, void *task_state)
 {
     struct update *update = (struct update *)call;
     struct jobs *jobs = task_state;
-    bool is_other_view =
-        jobs->view == NULL || jobs->view->n_nodes != update->view->n_nodes ||
-        jobs->view->version != update->view->version;
+    bool has_lost_nodes =
+        jobs->view != NULL &&
+        count_working(update->view) < count_working(jobs->view);
 
     world_unref(jobs->world);
     jobs->world = world_ref(update->world);
@@ -218,7 +229,7 @@
         members_view_unref(jobs->view);
     }
     jobs->view = members_view_ref(update->view);
-    if (is_other_view) {
+    if (has_lost_nodes) {
         jobs_scan_soon(jobs);
     }
     base_call_reply(call);
