Ask the node that runs a job about it; hand over what had arrived of its items

Change: a link between jobs tasks (ZeroMQ, protobuf) carries reads, bodies and ends to the runner, whose name is learned from the head once; the store stays the way when the runner is silent. A release keeps the partial texts beside the results, and the next runner resumes from them.

--- a/packages/control/codec.c
+++ b/packages/control/codec.c
@@ -91,6 +91,7 @@
     out->control_address = (char *)node->control_address;
     out->bulk_address = (char *)node->bulk_address;
     out->http_address = (char *)node->http_address;
+    out->jobs_address = (char *)node->jobs_address;
     out->world_revision = node->world_revision;
     out->life = node->life;
 }
@@ -108,7 +109,8 @@
         !control_text_is_good(in->control_address,
                               sizeof(node->control_address)) ||
         !control_text_is_good(in->bulk_address, sizeof(node->bulk_address)) ||
-        !control_text_is_good(in->http_address, sizeof(node->http_address))) {
+        !control_text_is_good(in->http_address, sizeof(node->http_address)) ||
+        !control_text_is_good(in->jobs_address, sizeof(node->jobs_address))) {
         return false;
     }
     g_strlcpy(node->name, in->name, sizeof(node->name));
@@ -119,6 +121,8 @@
               sizeof(node->bulk_address));
     g_strlcpy(node->http_address, in->http_address,
               sizeof(node->http_address));
+    g_strlcpy(node->jobs_address, in->jobs_address,
+              sizeof(node->jobs_address));
     node->incarnation = in->incarnation;
     node->state = (enum members_state)in->state;
     node->world_revision = MAX(in->world_revision, 0);
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -290,6 +290,8 @@
               desc->bulk_address);
     copy_text(self->http_address, sizeof(self->http_address),
               desc->http_address);
+    copy_text(self->jobs_address, sizeof(self->jobs_address),
+              desc->jobs_address);
     self->incarnation = (uint64_t)base_wall_ms();
     self->life = self->incarnation;
     control->members = members_new(&members);
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -95,6 +95,7 @@
     const char *source; /* IP to connect from; NULL: the system's choice */
     const char *bulk_address; /* NULL: no data folder */
     const char *http_address;
+    const char *jobs_address; /* NULL: runs no jobs */
     const char *const *seeds; /* other nodes' control addresses */
     int n_seeds;
     const char *public_key_file; /* NULL: no CURVE (tests only) */
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -6,7 +6,6 @@
  * task does the work; this hands calls over and words the answers. */
 
 enum {
-    LONGEST_WAIT_MS = 1000, /* that a read may be held back */
     RETRY_AFTER_MS = 300,   /* until a refused caller should come back */
 };
 
@@ -146,7 +145,7 @@
         front_request_header(request, request->front->edge->wait_ms);
     int64_t wait_ms = text == NULL ? 0 : g_ascii_strtoll(text, NULL, 10);
 
-    return CLAMP(wait_ms, 0, LONGEST_WAIT_MS);
+    return CLAMP(wait_ms, 0, JOBS_LONGEST_WAIT_MS);
 }
 
 static void
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -126,6 +126,7 @@
     int64_t revision;
     struct jobs_job *job;
     GPtrArray *results;
+    GPtrArray *partials;
 };
 
 static void
@@ -136,6 +137,9 @@
     if (claim->results != NULL) {
         g_ptr_array_free(claim->results, TRUE);
     }
+    if (claim->partials != NULL) {
+        g_ptr_array_free(claim->partials, TRUE);
+    }
     g_free(claim);
 }
 
@@ -155,10 +159,14 @@
     struct base_error err = {0};
 
     claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
+    claim->partials = g_ptr_array_new_with_free_func(jobs_result_free);
     for (guint i = 0; kv->status == PLATFORM_OK && i < kv->entries->len;
          i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
-        jobs_results_decode(entry->value, claim->results, &err);
+        jobs_results_decode(entry->value,
+                            jobs_is_partial_key(entry->key) ? claim->partials
+                                                            : claim->results,
+                            &err);
     }
     if (kv->status != PLATFORM_OK || err.code != BASE_OK ||
         claim->results->len != claim->head.listed->len) {
@@ -167,8 +175,10 @@
     }
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
-        jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
-                       claim->revision, g_steal_pointer(&claim->results));
+        struct jobs_run *run = jobs_run_start(
+            jobs, g_steal_pointer(&claim->job), &claim->head, claim->revision,
+            g_steal_pointer(&claim->results));
+        jobs_run_take_partials(run, claim->partials);
     }
     g_hash_table_remove(jobs->submitting, claim->id);
     free_claim(claim);
@@ -286,7 +296,7 @@
 
     for (int i = 0; jobs->view != NULL && i < jobs->view->n_nodes; i++) {
         const struct members_node *node = &jobs->view->nodes[i];
-        if (members_takes_work(node) && node->http_address[0] != '\0' &&
+        if (members_takes_work(node) && node->jobs_address[0] != '\0' &&
             base_hash_text(node->name, 0) > own) {
             n_before++;
         }
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -57,30 +57,6 @@
     return item;
 }
 
-/* A result with a copy of its text. */
-struct jobs_result *
-jobs_result_new(const char *id, bool is_completed, const char *text,
-                size_t size)
-{
-    struct jobs_result *result = g_new0(struct jobs_result, 1);
-
-    g_strlcpy(result->id, id, sizeof(result->id));
-    result->is_completed = is_completed;
-    result->text = g_strndup(text, is_completed ? size : 0);
-    result->size = is_completed ? size : 0;
-    return result;
-}
-
-/* Frees a result, for GPtrArray. */
-void
-jobs_result_free(gpointer data)
-{
-    struct jobs_result *result = data;
-
-    g_free(result->text);
-    g_free(result);
-}
-
 /* A request to the jobs task, to be filled in. */
 struct jobs_request *
 jobs_request_new(enum jobs_op op, const char *id)
@@ -407,9 +383,32 @@
     return jobs->has_backends;
 }
 
+static bool
+open_link(struct jobs *jobs, const struct jobs_desc *desc,
+          struct base_error *err)
+{
+    const struct jobs_link_desc link = {
+        .jobs = jobs,
+        .node = jobs->node,
+        .address = desc->link_address,
+        .source = desc->source,
+        .public_key_file = desc->public_key_file,
+        .secret_key_file = desc->secret_key_file,
+        .peer_keys_file = desc->peer_keys_file,
+        .counters = desc->counters,
+    };
+
+    if (desc->link_address == NULL) {
+        return true;
+    }
+    jobs->link = jobs_link_start(&link, err);
+    return jobs->link != NULL;
+}
+
 static void
 free_jobs(struct jobs *jobs)
 {
+    jobs_link_stop(jobs->link);
     base_task_finish(&jobs->task);
     if (jobs->has_backends) {
         backends_finish(&jobs->backends);
@@ -420,6 +419,7 @@
     place_free(jobs->place);
     g_hash_table_destroy(jobs->runs);
     g_hash_table_destroy(jobs->submitting);
+    g_hash_table_destroy(jobs->located);
     g_ptr_array_free(jobs->over, TRUE);
     world_unref(jobs->world);
     if (jobs->view != NULL) {
@@ -442,11 +442,14 @@
     jobs->runs = g_hash_table_new(g_str_hash, g_str_equal);
     jobs->submitting =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    jobs->located =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     jobs->over = g_ptr_array_new();
     jobs->place = place_new(&place);
     g_queue_init(&jobs->waiting);
     if (base_task_init(&jobs->task, "jobs", &OPS, jobs, err) &&
-        open_context(jobs, desc, err) && base_task_start(&jobs->task, err)) {
+        open_context(jobs, desc, err) && open_link(jobs, desc, err) &&
+        base_task_start(&jobs->task, err)) {
         return jobs;
     }
     free_jobs(jobs);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -24,7 +24,11 @@
 extern "C" {
 #endif
 
-enum { JOBS_ID_SIZE = 80, JOBS_MAX_ITEMS = 200 };
+enum {
+    JOBS_ID_SIZE = 80,
+    JOBS_MAX_ITEMS = 200,
+    JOBS_LONGEST_WAIT_MS = 1000, /* that a read may be held back */
+};
 
 struct jobs_item {
     char id[JOBS_ID_SIZE];
@@ -89,6 +93,7 @@
     int after;
     int64_t wait_ms;     /* JOBS_RESULTS: until there is one */
     bool is_from_peer;   /* another node asks: only this node's own jobs */
+    bool is_peer_asked;  /* the jobs task's: its runner was asked in vain */
     /* the answer */
     enum jobs_status status;
     struct jobs_answer answer;
@@ -130,6 +135,10 @@
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
     bool is_runner;
+    const char *link_address; /* "IP:port" for other nodes' calls; NULL: none */
+    const char *public_key_file; /* of the link; NULL: no CURVE */
+    const char *secret_key_file;
+    const char *peer_keys_file;
     int64_t keep_ms;  /* ended jobs stay readable this long; 0: 120,000 */
     int64_t lease_ms; /* of a runner; 0: 3,000 */
 };
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -11,6 +11,7 @@
  *   item.c    one item at a server
  *   ask.c     contracts for items
  *   events.c  the text of a stream of events
+ *   link.c    calls between nodes, on a task of its own
  */
 #ifndef CARDAMOM_JOBS_PRIVATE_H
 #define CARDAMOM_JOBS_PRIVATE_H
@@ -19,6 +20,7 @@
 
 #include "backends/backends.h"
 #include "jobs/events.h"
+#include "jobs/link.h"
 #include "jobs/record.h"
 #include "place/place.h"
 
@@ -112,6 +114,8 @@
     GHashTable *runs;       /* id to struct jobs_run, of this node */
     GPtrArray *over;        /* runs to be freed when nothing refers to them */
     GHashTable *submitting; /* ids whose acceptance is under way */
+    GHashTable *located;    /* id of a job to the node that runs it */
+    struct jobs_link *link; /* NULL: other nodes are not asked */
     GQueue waiting;         /* of struct jobs_request: reads held back */
     int n_asks;
     int n_running;
@@ -158,9 +162,6 @@
                     const struct platform_kv *kv);
 const struct world_ingress *jobs_route(const struct jobs *jobs,
                                        const char *host, const char *path);
-void jobs_result_free(gpointer data);
-struct jobs_result *jobs_result_new(const char *id, bool is_completed,
-                                    const char *text, size_t size);
 
 /* ---- submit.c, read.c ---- */
 
@@ -175,6 +176,7 @@
 struct jobs_run *jobs_run_start(struct jobs *jobs, struct jobs_job *job,
                                 struct jobs_head *head, int64_t revision,
                                 GPtrArray *results);
+void jobs_run_take_partials(struct jobs_run *run, const GPtrArray *partials);
 void jobs_run_item_done(struct jobs_run *run, struct jobs_work *work,
                         bool is_completed);
 void jobs_run_stop(struct jobs_run *run, const char *why);
--- /dev/null
+++ b/packages/jobs/link.c
@@ -0,0 +1,286 @@
+#include "jobs/link.h"
+
+#include <string.h>
+
+#include "jobs/jobs.pb-c.h"
+#include "jobs/record.h"
+#include "wire/wire.h"
+
+enum {
+    LINK_CALL = WIRE_FIRST_KIND,
+    LINK_REPLY,
+    ANSWER_MS = 700,  /* beyond the time that the other may hold a read back */
+    SILENCE_MS = 900, /* of a connection; reads are held back that long */
+};
+
+struct jobs_link {
+    struct base_task task;
+    struct wire_endpoint endpoint;
+    struct jobs *jobs;
+};
+
+/* ---- calls to peers ---- */
+
+struct ask {
+    struct base_call call;
+    struct jobs_link *link;
+    struct jobs_request *request;
+    void (*answered)(struct jobs_request *request, void *task_state);
+    char address[WIRE_ADDRESS_SIZE];
+};
+
+static bool
+read_reply(const struct wire_answer *answer, struct jobs_request *request)
+{
+    Jobs__Reply *reply =
+        jobs__reply__unpack(NULL, answer->size, answer->body);
+    struct base_error err = {0};
+    bool is_ok = reply != NULL && reply->status <= JOBS_NOT_ALLOWED;
+
+    if (is_ok && request->op == JOBS_RESULTS) {
+        GBytes *bytes = g_bytes_new(reply->results.data, reply->results.len);
+        request->answer.total = reply->total;
+        request->answer.next = reply->next;
+        request->answer.results =
+            g_ptr_array_new_with_free_func(jobs_result_free);
+        is_ok = reply->results.len == 0 ||
+                jobs_results_decode(bytes, request->answer.results, &err);
+        g_bytes_unref(bytes);
+    }
+    if (is_ok) {
+        request->status = (enum jobs_status)reply->status;
+    }
+    if (is_ok && request->op == JOBS_INPUT) {
+        request->body = g_bytes_new(reply->body.data, reply->body.len);
+    }
+    jobs__reply__free_unpacked(reply, NULL);
+    return is_ok;
+}
+
+static void
+on_reply(void *context, const struct wire_answer *answer)
+{
+    struct ask *ask = context;
+    struct jobs_request *request = ask->request;
+
+    request->status = JOBS_REFUSED;
+    if (answer->code != BASE_OK || !read_reply(answer, request)) {
+        base_log(BASE_LOG_INFO, "jobs.peer_silent",
+                 "id=%s peer=%s code=%s", request->id, ask->address,
+                 base_code_name(answer->code));
+    }
+    base_call_reply(&ask->call);
+}
+
+static void
+serve_ask(struct base_call *call, void *task_state)
+{
+    struct jobs_link *link = task_state;
+    struct ask *ask = (struct ask *)call;
+    Jobs__Call message = JOBS__CALL__INIT;
+    size_t size;
+    uint8_t *body;
+
+    message.op = ask->request->op;
+    message.id = ask->request->id;
+    message.item = ask->request->item;
+    message.after = ask->request->after;
+    message.wait_ms = ask->request->wait_ms;
+    size = jobs__call__get_packed_size(&message);
+    body = g_malloc(size + 1);
+    jobs__call__pack(&message, body);
+    wire_request(&link->endpoint,
+                 &(struct wire_request_desc){
+                     .address = ask->address,
+                     .kind = LINK_CALL,
+                     .body = body,
+                     .size = size,
+                     .timeout_ms = ask->request->wait_ms + ANSWER_MS,
+                     .is_idempotent = true,
+                     .answered = on_reply,
+                     .context = ask,
+                 });
+    g_free(body);
+}
+
+static void
+ask_done(struct base_call *call, void *task_state)
+{
+    struct ask *ask = (struct ask *)call;
+
+    ask->answered(ask->request, task_state);
+    g_free(ask);
+}
+
+static void
+drop_ask(struct base_call *call)
+{
+    g_free(call);
+}
+
+/* Asks the node at the address; `answered` runs on `from`. */
+void
+jobs_link_ask(struct jobs_link *link, const char *address,
+              struct jobs_request *request, struct base_task *from,
+              void (*answered)(struct jobs_request *request,
+                               void *task_state))
+{
+    static const struct base_call_ops OPS = {serve_ask, ask_done, drop_ask};
+    struct ask *ask = g_new0(struct ask, 1);
+
+    ask->link = link;
+    ask->request = request;
+    ask->answered = answered;
+    g_strlcpy(ask->address, address, sizeof(ask->address));
+    base_call_send(&ask->call, &OPS, &link->task, from);
+}
+
+/* ---- calls of peers ---- */
+
+struct served {
+    struct jobs_link *link;
+    struct wire_return back;
+};
+
+static void
+send_reply(struct jobs_link *link, const struct wire_return *back,
+           const struct jobs_request *request)
+{
+    Jobs__Reply reply = JOBS__REPLY__INIT;
+    GBytes *results = NULL;
+    gsize size = 0;
+    uint8_t *body;
+
+    reply.status = request->status;
+    reply.total = request->answer.total;
+    reply.next = request->answer.next;
+    if (request->answer.results != NULL && request->answer.results->len > 0) {
+        results = jobs_results_encode(request->answer.results);
+        reply.results.data = (uint8_t *)g_bytes_get_data(results, &size);
+        reply.results.len = size;
+    }
+    if (request->body != NULL) {
+        reply.body.data = (uint8_t *)g_bytes_get_data(request->body, &size);
+        reply.body.len = size;
+    }
+    size = jobs__reply__get_packed_size(&reply);
+    body = g_malloc(size + 1);
+    jobs__reply__pack(&reply, body);
+    wire_reply(&link->endpoint, back, LINK_REPLY, body, size);
+    g_free(body);
+    if (results != NULL) {
+        g_bytes_unref(results);
+    }
+}
+
+static void
+on_served(struct jobs_request *request, void *task_state)
+{
+    struct jobs_link *link = task_state;
+    struct served *served = request->context;
+
+    send_reply(link, &served->back, request);
+    g_free(served);
+    jobs_request_free(request);
+}
+
+static void
+on_message(void *context, const struct wire_message *message)
+{
+    struct jobs_link *link = context;
+    Jobs__Call *call;
+    struct jobs_request *request;
+    struct served *served;
+
+    if (message->kind != LINK_CALL || message->from.request == 0) {
+        return;
+    }
+    call = jobs__call__unpack(NULL, message->size, message->body);
+    if (call == NULL || call->op > JOBS_END || call->op == JOBS_SUBMIT) {
+        base_log(BASE_LOG_WARNING, "jobs.bad_call", "peer=%s",
+                 message->sender);
+        jobs__call__free_unpacked(call, NULL);
+        return;
+    }
+    request = jobs_request_new((enum jobs_op)call->op, call->id);
+    g_strlcpy(request->item, call->item, sizeof(request->item));
+    request->after = MAX(call->after, 0);
+    request->wait_ms = CLAMP(call->wait_ms, 0, JOBS_LONGEST_WAIT_MS);
+    request->is_from_peer = true;
+    served = g_new0(struct served, 1);
+    served->link = link;
+    served->back = message->from;
+    request->context = served;
+    jobs_request_send(link->jobs, request, &link->task, on_served);
+    jobs__call__free_unpacked(call, NULL);
+}
+
+/* ---- the task ---- */
+
+static void
+turn(struct jobs_link *link)
+{
+    int wait_ms = wire_endpoint_service(&link->endpoint, base_clock_ms());
+
+    wire_endpoint_wait(&link->endpoint, link->task.wake_fd, wait_ms);
+    base_task_clear_wake_fd(&link->task);
+    base_task_drain(&link->task);
+}
+
+static void
+run(struct base_task *task)
+{
+    struct jobs_link *link = task->state;
+
+    while (!base_task_is_stopping(task)) {
+        turn(link);
+    }
+}
+
+/* Binds the address and starts the task. */
+struct jobs_link *
+jobs_link_start(const struct jobs_link_desc *desc, struct base_error *err)
+{
+    static const struct base_task_ops OPS = {base_task_wake_fd, run};
+    struct jobs_link *link = g_new0(struct jobs_link, 1);
+    const struct wire_endpoint_desc endpoint = {
+        .node = desc->node,
+        .address = desc->address,
+        .source = desc->source,
+        .public_key_file = desc->public_key_file,
+        .secret_key_file = desc->secret_key_file,
+        .peer_keys_file = desc->peer_keys_file,
+        .silence_ms = SILENCE_MS,
+        .counters = desc->counters,
+        .received = on_message,
+        .context = link,
+    };
+
+    link->jobs = desc->jobs;
+    if (!wire_endpoint_init(&link->endpoint, &endpoint, err)) {
+        g_free(link);
+        return NULL;
+    }
+    if (!base_task_init(&link->task, "jobs_link", &OPS, link, err) ||
+        !base_task_start(&link->task, err)) {
+        base_task_finish(&link->task);
+        wire_endpoint_finish(&link->endpoint);
+        g_free(link);
+        return NULL;
+    }
+    return link;
+}
+
+/* Stops the task.  Calls that are out are dropped; their callers have ended
+ * or do not wait for them. */
+void
+jobs_link_stop(struct jobs_link *link)
+{
+    if (link == NULL) {
+        return;
+    }
+    base_task_stop(&link->task);
+    base_task_finish(&link->task);
+    wire_endpoint_finish(&link->endpoint);
+    g_free(link);
+}
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -98,6 +98,9 @@
     results = g_ptr_array_new_with_free_func(jobs_result_free);
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
+        if (jobs_is_partial_key(entry->key)) {
+            continue;
+        }
         if (!jobs_results_decode(entry->value, results, &err)) {
             base_log_error("jobs.results_unreadable", &err, "key=%s",
                            entry->key);
@@ -157,6 +160,59 @@
 
 static void end_job(struct jobs *jobs, struct jobs_request *request,
                     const struct jobs_head *head, int64_t revision);
+static void read_head(struct jobs *jobs, struct jobs_request *request);
+
+/* ---- jobs of other nodes, from their runners ---- */
+
+static void
+on_peer(struct jobs_request *request, void *task_state)
+{
+    struct jobs *jobs = task_state;
+
+    jobs->n_calls--;
+    if (request->status != JOBS_REFUSED) {
+        jobs_answer(jobs, request, request->status);
+        return;
+    }
+    g_hash_table_remove(jobs->located, request->id);
+    read_head(jobs, request);
+}
+
+/* Asks the node that runs the job; false when there is none to ask. */
+static bool
+ask_runner(struct jobs *jobs, struct jobs_request *request)
+{
+    const char *name = g_hash_table_lookup(jobs->located, request->id);
+    int node = name == NULL || jobs->view == NULL
+                   ? -1
+                   : members_view_find(jobs->view, name);
+
+    if (node < 0 || jobs->link == NULL || request->is_from_peer ||
+        request->is_peer_asked || node == jobs->view->self ||
+        jobs->view->nodes[node].jobs_address[0] == '\0' ||
+        jobs->view->nodes[node].state == MEMBERS_DEAD ||
+        jobs->view->nodes[node].state == MEMBERS_LEFT) {
+        return false;
+    }
+    request->is_peer_asked = true;
+    jobs->n_calls++;
+    jobs_link_ask(jobs->link, jobs->view->nodes[node].jobs_address, request,
+                  &jobs->task, on_peer);
+    return true;
+}
+
+/* Remembers who runs a job. */
+static void
+locate(struct jobs *jobs, const struct jobs_head *head)
+{
+    if (head->runner[0] == '\0') {
+        g_hash_table_remove(jobs->located, head->id);
+        return;
+    }
+    g_hash_table_replace(jobs->located, g_strdup(head->id),
+                         g_strndup(head->runner,
+                                   strcspn(head->runner, "#")));
+}
 
 static void
 go_on_with_head(struct jobs *jobs, struct jobs_request *request,
@@ -207,7 +263,10 @@
         jobs_answer(jobs, request, JOBS_REFUSED);
         return;
     }
-    go_on_with_head(jobs, request, &head, entry->revision);
+    locate(jobs, &head);
+    if (!ask_runner(jobs, request)) {
+        go_on_with_head(jobs, request, &head, entry->revision);
+    }
     jobs_head_finish(&head);
 }
 
@@ -269,6 +328,22 @@
 
 /* ---- calls ---- */
 
+/* A job that another node runs, as far as is known: its runner is asked, or
+ * its records are read. */
+static void
+ask_elsewhere(struct jobs *jobs, struct jobs_request *request)
+{
+    if (request->is_from_peer) {
+        base_error_set(&request->err, BASE_UNAVAILABLE,
+                       "this node does not run the job");
+        jobs_answer(jobs, request, JOBS_REFUSED);
+        return;
+    }
+    if (!ask_runner(jobs, request)) {
+        read_head(jobs, request);
+    }
+}
+
 /* Answers results, at once or, for a job of this node, when there is one. */
 void
 jobs_read_results(struct jobs *jobs, struct jobs_request *request)
@@ -276,7 +351,7 @@
     struct jobs_run *run = find_own(jobs, request->id);
 
     if (run == NULL) {
-        read_head(jobs, request);
+        ask_elsewhere(jobs, request);
         return;
     }
     if (request->wait_ms == 0 || has_something(run, request)) {
@@ -307,7 +382,7 @@
             answer_own(jobs, request, run);
         }
         else {
-            read_head(jobs, request);
+            ask_elsewhere(jobs, request);
         }
     }
 }
@@ -322,12 +397,16 @@
         answer_input(jobs, request, run->job);
         return;
     }
-    read_head(jobs, request);
+    ask_elsewhere(jobs, request);
 }
 
 /* Ends a job: nothing of it is started any more. */
 void
 jobs_end(struct jobs *jobs, struct jobs_request *request)
 {
-    read_head(jobs, request);
+    if (find_own(jobs, request->id) != NULL) {
+        read_head(jobs, request);
+        return;
+    }
+    ask_elsewhere(jobs, request);
 }
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -193,6 +193,20 @@
     return g_strdup_printf("%s%s/%06d", prefix, id, number);
 }
 
+/* The key of what had arrived of a job's items. */
+char *
+jobs_partial_key(const char *id)
+{
+    return g_strconcat(JOBS_RESULTS_PREFIX, id, "/partial", NULL);
+}
+
+/* Whether a key below a job's results is that one. */
+bool
+jobs_is_partial_key(const char *key)
+{
+    return g_str_has_suffix(key, "/partial");
+}
+
 /* ---- compressed texts ---- */
 
 static GBytes *
@@ -341,9 +355,26 @@
     return true;
 }
 
-static void
-free_result(struct jobs_result *result)
+/* A result with a copy of its text. */
+struct jobs_result *
+jobs_result_new(const char *id, bool is_completed, const char *text,
+                size_t size)
 {
+    struct jobs_result *result = g_new0(struct jobs_result, 1);
+
+    g_strlcpy(result->id, id, sizeof(result->id));
+    result->is_completed = is_completed;
+    result->text = g_strndup(text, is_completed ? size : 0);
+    result->size = is_completed ? size : 0;
+    return result;
+}
+
+/* Frees a result, for GPtrArray. */
+void
+jobs_result_free(gpointer data)
+{
+    struct jobs_result *result = data;
+
     g_free(result->text);
     g_free(result);
 }
@@ -364,7 +395,7 @@
     while (reader.at < reader.end) {
         struct jobs_result *result = g_new0(struct jobs_result, 1);
         if (!read_result(&reader, result)) {
-            free_result(result);
+            jobs_result_free(result);
             base_error_set(err, BASE_CORRUPT, "stored results are cut off");
             g_bytes_unref(text);
             return false;
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -5,6 +5,8 @@
  *   jobs/a/n/NODE#LIFE a runner that lives, under its lease
  *   jobs/i/ID/N        the submitted text, compressed, in pieces
  *   jobs/r/ID/N        results in the order of their positions, compressed
+ *   jobs/r/ID/partial  what had arrived of items when a runner gave the job
+ *                      away; a hint for the next one only
  */
 #ifndef CARDAMOM_JOBS_RECORD_H
 #define CARDAMOM_JOBS_RECORD_H
@@ -59,6 +61,11 @@
 GBytes *jobs_results_encode(const GPtrArray *results);
 bool jobs_results_decode(GBytes *bytes, GPtrArray *out,
                          struct base_error *err);
+void jobs_result_free(gpointer data);
+struct jobs_result *jobs_result_new(const char *id, bool is_completed,
+                                    const char *text, size_t size);
+bool jobs_is_partial_key(const char *key);
+char *jobs_partial_key(const char *id);
 GPtrArray *jobs_text_split(GBytes *text);
 GBytes *jobs_text_join(const GPtrArray *pieces, struct base_error *err);
 
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -84,6 +84,62 @@
     return run;
 }
 
+/* What had arrived of items before the last runner gave the job away: the
+ * number of events and the last one's id on a line, then the text. */
+void
+jobs_run_take_partials(struct jobs_run *run, const GPtrArray *partials)
+{
+    for (guint i = 0; i < partials->len; i++) {
+        const struct jobs_result *partial = partials->pdata[i];
+        const char *text = memchr(partial->text, '\n', partial->size);
+        for (guint n = 0; text != NULL && n < run->job->items->len; n++) {
+            const struct jobs_item *item = run->job->items->pdata[n];
+            struct jobs_events *events = &run->works[n].events;
+            char *last_id;
+            if (strcmp(item->id, partial->id) != 0 ||
+                run->works[n].state != JOBS_WORK_WAITING) {
+                continue;
+            }
+            events->count = g_ascii_strtoll(partial->text, &last_id, 10);
+            events->last_id = g_ascii_strtoll(last_id, NULL, 10);
+            g_string_truncate(events->text, 0);
+            g_string_append_len(
+                events->text, text + 1,
+                (gssize)(partial->size - (size_t)(text + 1 - partial->text)));
+        }
+    }
+}
+
+static GBytes *
+encode_partials(const struct jobs_run *run)
+{
+    GPtrArray *partials = g_ptr_array_new_with_free_func(jobs_result_free);
+    GBytes *bytes = NULL;
+
+    for (guint i = 0; i < run->job->items->len; i++) {
+        const struct jobs_work *work = &run->works[i];
+        const struct jobs_item *item = run->job->items->pdata[i];
+        GString *text;
+        if (work->state != JOBS_WORK_WAITING ||
+            !jobs_events_may_resume(&work->events)) {
+            continue;
+        }
+        text = g_string_new(NULL);
+        g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT "\n",
+                        work->events.count, work->events.last_id);
+        g_string_append_len(text, work->events.text->str,
+                            (gssize)work->events.text->len);
+        g_ptr_array_add(partials, jobs_result_new(item->id, true, text->str,
+                                                  text->len));
+        g_string_free(text, TRUE);
+    }
+    if (partials->len > 0) {
+        bytes = jobs_results_encode(partials);
+    }
+    g_ptr_array_free(partials, TRUE);
+    return bytes;
+}
+
 /* Frees a run that nothing refers to any more. */
 void
 jobs_run_free(struct jobs_run *run)
@@ -302,6 +358,14 @@
         g_free(key);
         g_ptr_array_free(results, TRUE);
     }
+    if (run->is_releasing) {
+        char *key = jobs_partial_key(run->head.id);
+        GBytes *partials = encode_partials(run);
+        if (partials != NULL) {
+            platform_kv_write(kv, key, partials, 0);
+        }
+        g_free(key);
+    }
     g_free(head_key);
     run->commit_ms = base_clock_ms() + COMMIT_MS;
     run->n_references++;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -127,6 +127,7 @@
         .source = settings->source,
         .bulk_address = announced_bulk(settings),
         .http_address = http,
+        .jobs_address = settings->site.jobs,
         .seeds = (const char *const *)settings->seeds,
         .n_seeds = (int)g_strv_length(settings->seeds),
         .public_key_file = settings->public_key_file,
@@ -202,10 +203,14 @@
                   .refused_unrun = edge->refused_unrun,
                   .misdirected_status = edge->misdirected_status},
         .decode = edge->decode_job,
-        .is_runner = settings->site.is_runner,
+        .is_runner = true,
+        .link_address = settings->site.jobs,
+        .public_key_file = settings->public_key_file,
+        .secret_key_file = settings->secret_key_file,
+        .peer_keys_file = settings->peer_keys_file,
     };
 
-    if (settings->site.callers == NULL) {
+    if (settings->site.jobs == NULL) {
         return true; /* nobody hands in jobs here */
     }
     node->jobs = jobs_start(&desc, err);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -38,10 +38,10 @@
     char *callers; /* "IP:port" to listen on; NULL: takes no requests */
     char *probes;  /* for the balancer's checks; NULL: with the callers */
     char *metrics; /* NULL: with the callers */
+    char *jobs;    /* for other nodes' calls about jobs; NULL: runs none */
     struct world_place *places;
     int n_places;
     int n_watchers; /* of the key-value service, in a zone */
-    bool is_runner; /* runs the jobs that it accepts */
 };
 
 struct node_settings {
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -18,9 +18,8 @@
     "platform", "policy",      "log_level",    "drain_ms", "batch_runner",
     "announce", "source",      "site",         NULL,
 };
-static const char *const KNOWN_SITE[] = {"callers",  "probes", "metrics",
-                                         "zones",    "watchers",
-                                         "job_runner", NULL};
+static const char *const KNOWN_SITE[] = {
+    "callers", "probes", "metrics", "jobs", "zones", "watchers", NULL};
 static const char *const KNOWN_HTTP[] = {"address", "port", "certificate",
                                          "key", NULL};
 static const char *const KNOWN_KEYS[] = {"public", "secret", "peers", NULL};
@@ -272,7 +271,6 @@
 {
     struct node_site_settings *site = &settings->site;
     json_t *json = json_object_get(root, "site");
-    json_t *runner = json_object_get(json, "job_runner");
     int64_t n_watchers = 0;
 
     if (json == NULL || json_is_null(json)) {
@@ -282,13 +280,7 @@
         base_error_set(err, BASE_INVALID, "$.site: must be an object");
         return false;
     }
-    if (runner != NULL && !json_is_boolean(runner)) {
-        base_error_set(err, BASE_INVALID,
-                       "$.site.job_runner: must be true or false");
-        return false;
-    }
     site->is_set = true;
-    site->is_runner = runner == NULL || json_is_true(runner);
     if (!check_members(json, "$.site", KNOWN_SITE, err) ||
         !read_address(json, "$.site", "callers", TEXT_OPTIONAL,
                       &site->callers, err) ||
@@ -296,6 +288,8 @@
                       err) ||
         !read_address(json, "$.site", "metrics", TEXT_OPTIONAL,
                       &site->metrics, err) ||
+        !read_address(json, "$.site", "jobs", TEXT_OPTIONAL, &site->jobs,
+                      err) ||
         !read_number(json, "$.site", "watchers", 1, 1000, &n_watchers, err) ||
         !read_places(site, json_object_get(json, "zones"), err)) {
         return false;
@@ -459,6 +453,7 @@
     g_free(settings->site.callers);
     g_free(settings->site.probes);
     g_free(settings->site.metrics);
+    g_free(settings->site.jobs);
     for (int i = 0; i < settings->site.n_places; i++) {
         g_free(settings->site.places[i].zone);
         g_free(settings->site.places[i].region);
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -952,7 +952,7 @@
   assert(message->base.descriptor == &control__rate_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor control__member_update__field_descriptors[10] =
+static const ProtobufCFieldDescriptor control__member_update__field_descriptors[11] =
 {
   {
     "name",
@@ -1074,6 +1074,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "jobs_address",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__MemberUpdate, jobs_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__member_update__field_indices_by_name[] = {
   8,   /* field[8] = brief */
@@ -1081,6 +1093,7 @@
   2,   /* field[2] = control_address */
   4,   /* field[4] = http_address */
   5,   /* field[5] = incarnation */
+  10,   /* field[10] = jobs_address */
   9,   /* field[9] = life */
   0,   /* field[0] = name */
   6,   /* field[6] = state */
@@ -1090,7 +1103,7 @@
 static const ProtobufCIntRange control__member_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor control__member_update__descriptor =
 {
@@ -1100,7 +1113,7 @@
   "Control__MemberUpdate",
   "control",
   sizeof(Control__MemberUpdate),
-  10,
+  11,
   control__member_update__field_descriptors,
   control__member_update__field_indices_by_name,
   1,  control__member_update__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -59,10 +59,11 @@
   int64_t world_revision;
   protobuf_c_boolean brief;
   uint64_t life;
+  char *jobs_address;
 };
 #define CONTROL__MEMBER_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__member_update__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Control__MemberList
