Tell changes of membership at once, and take no requests late in a stop

Change: whoever learns of a change tells three nodes at once, which do the same, bounded by the sends that each piece of news has. A front answers requests that come 4 s after the start of a stop with 503 and closes.

--- a/packages/front/edge.c
+++ b/packages/front/edge.c
@@ -47,6 +47,18 @@
     return &JOB_SUBMIT;
 }
 
+/* A request that came after a planned stop took its last ones. */
+static bool
+is_too_late(struct front_request *request)
+{
+    if (!front_is_closing(request->front)) {
+        return false;
+    }
+    request->closes_after = true;
+    front_fail(request, &FRONT_NOT_READY, "this node is stopping");
+    return true;
+}
+
 /* The handler of a request; on a failure it has been answered. */
 const struct front_route *
 front_edge_route(struct front_request *request)
@@ -60,7 +72,7 @@
     case FRONT_EDGE_JOB_RESULTS:
     case FRONT_EDGE_JOB_INPUT:
     case FRONT_EDGE_JOB_END:
-        return &JOB_CALL;
+        return is_too_late(request) ? &UNKNOWN : &JOB_CALL;
     case FRONT_EDGE_NONE:
         break;
     }
@@ -68,5 +80,5 @@
         strcmp(request->method, "GET") == 0) {
         return &METRICS;
     }
-    return find_by_route(request);
+    return is_too_late(request) ? &UNKNOWN : find_by_route(request);
 }
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -9,6 +9,10 @@
     /* After the last request: kept connections may still bring one. */
     QUIET_MS = 500,
     STOP_WAIT_MS = 3000,
+    /* After the start of a planned stop requests are still served for so
+     * long: balancers have turned away by then, and half of the usual time
+     * of grace is left for what was taken last. */
+    LAST_REQUESTS_MS = 4000,
 };
 
 struct update {
@@ -219,13 +223,26 @@
 void
 front_drain(struct front *front)
 {
-    __atomic_store_n(&front->last_request_ms, base_clock_ms(),
-                     __ATOMIC_RELAXED);
+    int64_t now_ms = base_clock_ms();
+
+    __atomic_store_n(&front->last_request_ms, now_ms, __ATOMIC_RELAXED);
+    __atomic_store_n(&front->draining_ms, now_ms, __ATOMIC_RELAXED);
     g_atomic_int_set(&front->is_draining, 1);
     base_log(BASE_LOG_NOTICE, "front.draining", "open=%d",
              g_atomic_int_get(&front->n_open));
 }
 
+/* Whether a planned stop is so near that a request might not end before it. */
+bool
+front_is_closing(const struct front *front)
+{
+    int64_t since_ms =
+        __atomic_load_n(&front->draining_ms, __ATOMIC_RELAXED);
+
+    return g_atomic_int_get(&front->is_draining) &&
+           base_clock_ms() - since_ms >= LAST_REQUESTS_MS;
+}
+
 /* Whether no request is open and none came for a short while; any thread. */
 bool
 front_is_idle(struct front *front)
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -94,6 +94,7 @@
     int is_draining;              /* atomic */
     int n_open;                   /* atomic: requests, for front_is_idle */
     int64_t last_request_ms;      /* atomic */
+    int64_t draining_ms;          /* atomic: since when */
 };
 
 /* ---- overload reductions, by server and operator (reductions.c) ---- */
@@ -283,6 +284,9 @@
 void front_peers_tick(struct front *front, int64_t now_ms);
 const struct front_route *front_edge_route(struct front_request *request);
 
+/* front.c */
+bool front_is_closing(const struct front *front);
+
 /* ---- handlers ---- */
 
 extern const struct front_handler FRONT_INGRESS;
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -90,9 +90,7 @@
         jobs_run_item_done(work->run, work, true);
         return;
     }
-    if (!work->is_yielded) {
-        log_end(work, result);
-    }
+    log_end(work, result);
     if (work->is_yielded) {
         wait_for(work, 0);
     }
--- a/packages/members/gossip.c
+++ b/packages/members/gossip.c
@@ -149,6 +149,28 @@
     g_array_append_val(out, action);
 }
 
+/* Tells a few nodes at once what changed; each of them does the same, so that
+ * all know within a few hops.  Servers' keepers follow the view: while views
+ * differ, asks go to the wrong node. */
+void
+members_tell_rumor(struct members *members, int64_t now_ms, GArray *out)
+{
+    const struct members_node *some[MEMBERS_N_HELPERS];
+    int n_some;
+
+    if (!members->has_rumor || now_ms < members->next_rumor_ms) {
+        return;
+    }
+    members->has_rumor = false;
+    members->next_rumor_ms = now_ms + MEMBERS_RUMOR_MS;
+    n_some = members_pick(members, MEMBERS_N_HELPERS, some);
+    for (int i = 0; i < n_some; i++) {
+        /* An answer that nobody waits for: its news count all the same. */
+        members_post(out, some[i]->control_address,
+                     members_compose(members, MEMBERS_ACK, 0, NULL));
+    }
+}
+
 /* A message is itself news of its sender, also when it does not carry the
  * sender's record. */
 static void
@@ -242,4 +264,5 @@
     if (sender == NULL) {
         meet_stranger(members, message, now_ms, out);
     }
+    members_tell_rumor(members, now_ms, out);
 }
--- a/packages/members/members_private.h
+++ b/packages/members/members_private.h
@@ -12,6 +12,7 @@
     MEMBERS_RING_WINDOW = 8, /* neighbours that a node probes in turn */
     MEMBERS_MAX_UPDATES = 6, /* a message */
     MEMBERS_N_HELPERS = 3,   /* asked to probe on one's behalf */
+    MEMBERS_RUMOR_MS = 50,   /* between bursts of news */
 };
 
 struct members_record {
@@ -56,6 +57,8 @@
     int64_t pull_wait_ms;
     int64_t next_stranger_ms;
     int64_t next_retry_ms;
+    int64_t next_rumor_ms;
+    bool has_rumor; /* news that others should hear at once */
     int64_t refreshing_until_ms; /* after a pause: no verdicts till then */
     bool has_joined;
 };
@@ -84,6 +87,7 @@
                                         enum members_message_kind kind,
                                         uint64_t sequence,
                                         const struct members_record *to);
+void members_tell_rumor(struct members *members, int64_t now_ms, GArray *out);
 void members_post(GArray *out, const char *address,
                   struct members_message *message);
 
--- a/packages/members/table.c
+++ b/packages/members/table.c
@@ -51,6 +51,7 @@
     record->changed_ms = now_ms;
     members->version++;
     members->is_ring_stale = true;
+    members->has_rumor |= record != &members->self;
     members_spread(members, record);
 }
 
