Answer the operator who retires a machine; serve asks that are still in time first

In bursts beyond all slots the queue served late asks first and so made the next ones late, too.

Change: control/retire.c: a store machine watches its own key, leaves so that its servers' keepers move, and writes a plain answer. An ask carries how long a grant is still in time; such asks go first.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -73,6 +73,9 @@
     double weight; /* of the operator, for shares under contention */
     enum contracts_class class_;
     int64_t wait_ms; /* how long it may be queued; 0: answer at once */
+    /* While it has waited less, a grant is still in time; such asks go before
+     * those that are late already.  0: always in time. */
+    int64_t prefer_ms;
     int slots;       /* batch; online is 1 */
     int64_t term_ms; /* batch */
     uint64_t renew;  /* batch: the contract that is to go on; 0: a new one.
--- a/packages/contracts/keeper.c
+++ b/packages/contracts/keeper.c
@@ -195,7 +195,7 @@
 {
     while (!keeper->is_leaving && keeper_free(keeper) > 0) {
         struct queue_entry *entry =
-            queue_pop(&keeper->queue, keeper_long_room(keeper) > 0);
+            queue_pop(&keeper->queue, keeper_long_room(keeper) > 0, now_ms);
         if (entry == NULL) {
             break;
         }
--- a/packages/contracts/keeper_life.c
+++ b/packages/contracts/keeper_life.c
@@ -124,7 +124,7 @@
 {
     struct queue_entry *entry;
 
-    while ((entry = queue_pop(&keeper->queue, true)) != NULL ||
+    while ((entry = queue_pop(&keeper->queue, true, now_ms)) != NULL ||
            (entry = g_queue_pop_head(&keeper->batch_asks)) != NULL) {
         keeper_answer(keeper, &entry->ask, answer, NULL, now_ms, out);
         g_free(entry);
--- a/packages/contracts/queue.c
+++ b/packages/contracts/queue.c
@@ -131,8 +131,30 @@
     }
 }
 
+static bool
+is_in_time(const struct queue_entry *entry, int64_t now_ms)
+{
+    return entry->ask.prefer_ms <= 0 ||
+           now_ms < entry->since_ms + entry->ask.prefer_ms;
+}
+
+/* The oldest ask that is still in time, else the oldest: under overload the
+ * late ones would make all others late, too. */
+static struct queue_entry *
+pop_lane(struct queue_lane *lane, int64_t now_ms)
+{
+    for (GList *at = lane->entries.head; at != NULL; at = at->next) {
+        struct queue_entry *entry = at->data;
+        if (is_in_time(entry, now_ms)) {
+            g_queue_delete_link(&lane->entries, at);
+            return entry;
+        }
+    }
+    return g_queue_pop_head(&lane->entries);
+}
+
 static struct queue_entry *
-pop_class(struct queue_class *waiting)
+pop_class(struct queue_class *waiting, int64_t now_ms)
 {
     struct queue_lane *lane = next_lane(waiting);
     struct queue_entry *entry;
@@ -140,7 +162,7 @@
     if (lane == NULL) {
         return NULL;
     }
-    entry = g_queue_pop_head(&lane->entries);
+    entry = pop_lane(lane, now_ms);
     waiting->now = MAX(waiting->now, lane->start);
     lane->start += 1 / lane->weight;
     waiting->count--;
@@ -155,7 +177,7 @@
 /* Takes the ask whose turn it is, or NULL when none may run; the caller
  * frees it.  may_long says whether a long one may run now. */
 struct queue_entry *
-queue_pop(struct queue *queue, bool may_long)
+queue_pop(struct queue *queue, bool may_long, int64_t now_ms)
 {
     struct queue_class *shorts = &queue->classes[CONTRACTS_ONLINE_SHORT];
     struct queue_class *longs = &queue->classes[CONTRACTS_ONLINE_LONG];
@@ -164,13 +186,13 @@
     if (shorts->count > 0 &&
         (!has_long || queue->short_turns < QUEUE_SHORT_TURNS)) {
         queue->short_turns = has_long ? queue->short_turns + 1 : 0;
-        return pop_class(shorts);
+        return pop_class(shorts, now_ms);
     }
     if (!has_long) {
         return NULL;
     }
     queue->short_turns = 0;
-    return pop_class(longs);
+    return pop_class(longs, now_ms);
 }
 
 static struct queue_entry *
--- a/packages/contracts/queue.h
+++ b/packages/contracts/queue.h
@@ -41,7 +41,8 @@
 int queue_count(const struct queue *queue);
 void queue_push(struct queue *queue, const struct contracts_ask *ask,
                 int64_t now_ms);
-struct queue_entry *queue_pop(struct queue *queue, bool may_long);
+struct queue_entry *queue_pop(struct queue *queue, bool may_long,
+                              int64_t now_ms);
 struct queue_entry *queue_remove(struct queue *queue, const char *holder,
                                  uint64_t ask_id);
 void queue_remove_holder(struct queue *queue, const char *holder);
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -170,6 +170,7 @@
     control_spread_tick(control);
     control_leaving_tick(control);
     control_registry_tick(control);
+    control_retire_tick(control);
     follow_changes(control);
     control_keep_tick(control);
     control_rates_tick(control);
@@ -229,6 +230,7 @@
     control->tracer = desc->tracer;
     control->listener = desc->listener;
     control->source = desc->origin;
+    control->may_retire = desc->may_retire;
     control->n_watchers = desc->n_watchers > 0 ? desc->n_watchers : N_WATCHERS;
     control->n_places = desc->n_places;
     control->places = g_new0(struct world_place, desc->n_places + 1);
@@ -370,6 +372,7 @@
     forget_keepers(control);
     control->is_watcher = should_watch(control);
     control_spread_watch(control, control->is_watcher);
+    control_retire_watch(control, true);
     return base_task_start(&control->task, err);
 }
 
@@ -420,6 +423,7 @@
     }
     control_spread_watch(control, false);
     control_registry_watch(control, false);
+    control_retire_watch(control, false);
     control->n_platform_calls++;
     platform_hosts_send(control->platform, &control->task, NULL,
                         barrier_passed);
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -17,6 +17,7 @@
  *   spread.c   the configuration
  *   leaving.c  hosts that the platform calls leaving
  *   registry.c servers that register themselves
+ *   retire.c   this machine, when the operator wants it emptied
  *   rates.c    operators' limits
  *   status.c   the state as JSON
  */
@@ -173,6 +174,16 @@
     int64_t grace_ms;    /* until then lapsed entries may come back */
 };
 
+/* ---- retire.c ---- */
+
+struct control_retire {
+    uint64_t watch;     /* 0: none */
+    bool is_asked;      /* the operator wants this machine emptied */
+    bool is_told;       /* and was told that it is */
+    bool is_telling;    /* the answer is on its way */
+    int64_t tell_ms;    /* not told before this */
+};
+
 /* ---- the whole ---- */
 
 struct control {
@@ -194,6 +205,7 @@
     struct world_place *places;
     int n_places;
     int n_watchers; /* in each availability zone */
+    bool may_retire;
     /* state */
     struct members *members;
     struct members_view *view;
@@ -213,6 +225,7 @@
     struct control_spread spread;
     struct control_leaving leaving;
     struct control_registry registry;
+    struct control_retire retire;
     struct control_rates *rates;
 };
 
@@ -338,6 +351,10 @@
                              bool is_all);
 void control_site_changed(struct control *control, struct world_site *site);
 
+/* retire.c */
+void control_retire_watch(struct control *control, bool is_on);
+void control_retire_tick(struct control *control);
+
 /* rates.c */
 struct control_rates *control_rates_new(void);
 void control_rates_free(struct control_rates *rates);
--- a/packages/control/hold.c
+++ b/packages/control/hold.c
@@ -400,6 +400,7 @@
             : (float)control->world->operators[operator_index].weight;
     message->work_class = (uint32_t)ask->class_;
     message->wait_ms = ask->wait_ms;
+    message->prefer_ms = ask->prefer_ms;
     message->slots = (uint32_t)MAX(ask->slots, 1);
     message->term_ms = ask->term_ms;
     message->ask_id = pending->id;
--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -381,6 +381,7 @@
     out->weight = ask->weight > 0 ? (double)ask->weight : 1;
     out->class_ = (enum contracts_class)ask->work_class;
     out->wait_ms = MAX(ask->wait_ms, 0);
+    out->prefer_ms = MAX(ask->prefer_ms, 0);
     out->slots = (int)CLAMP(ask->slots, 1, 1000000);
     out->term_ms = MAX(ask->term_ms, 0);
     out->renew = ask->renew;
--- /dev/null
+++ b/packages/control/retire.c
@@ -0,0 +1,114 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+/* A machine that the operator wants emptied.  On a site nothing of value lies
+ * on our machines: jobs and their results are in the key-value service.  The
+ * node takes no new work, so that its servers' keepers move, and says so. */
+enum {
+    HANDOVER_MS = 300, /* for tables to move to the next keepers */
+    RETRY_MS = 500,
+};
+
+static void
+on_told(struct platform_kv *kv, void *task_state)
+{
+    struct control *control = task_state;
+    struct control_retire *retire = &control->retire;
+
+    control->n_platform_calls--;
+    retire->is_telling = false;
+    retire->is_told =
+        kv->status == PLATFORM_OK || kv->status == PLATFORM_CONFLICT;
+    retire->tell_ms = base_clock_ms() + RETRY_MS;
+    if (retire->is_told) {
+        base_log(BASE_LOG_NOTICE, "node.retired", "status=%d", kv->status);
+    }
+    platform_kv_free(kv);
+}
+
+static void
+tell(struct control *control)
+{
+    const struct world_source *source = control->source;
+    char *key = g_strconcat(source->retired_prefix, control->node, NULL);
+    struct platform_kv *kv = platform_kv_new(PLATFORM_PUT_IF, key);
+
+    kv->expect_revision = PLATFORM_ABSENT;
+    kv->is_plain = true;
+    kv->value = g_bytes_new_static(source->retired_text,
+                                   strlen(source->retired_text));
+    g_free(key);
+    control->retire.is_telling = true;
+    control->n_platform_calls++;
+    platform_kv_send(control->platform, kv, &control->task, on_told);
+}
+
+static void
+note_asked(struct control *control)
+{
+    if (control->retire.is_asked) {
+        return;
+    }
+    base_log(BASE_LOG_NOTICE, "node.retiring", "node=%s", control->node);
+    control->retire.is_asked = true;
+    control->retire.tell_ms = base_clock_ms() + HANDOVER_MS;
+    control_gossip_leave(control, false);
+}
+
+static void
+on_event(struct platform_event *event, void *task_state)
+{
+    struct control *control = task_state;
+    char *key = g_strconcat(control->source->retire_prefix, control->node,
+                            NULL);
+
+    control->now_ms = base_clock_ms();
+    for (guint i = 0; event->listing != NULL && i < event->listing->len;
+         i++) {
+        const struct platform_entry *entry = event->listing->pdata[i];
+        if (strcmp(entry->key, key) == 0) {
+            note_asked(control);
+        }
+    }
+    if (!event->is_reset && !event->is_regained && !event->is_delete &&
+        g_strcmp0(event->entry.key, key) == 0) {
+        note_asked(control);
+    }
+    g_free(key);
+}
+
+/* Begins or ends this node's watch on what the operator asks of it. */
+void
+control_retire_watch(struct control *control, bool is_on)
+{
+    struct control_retire *retire = &control->retire;
+
+    if (control->platform == NULL || control->source == NULL ||
+        !control->may_retire || is_on == (retire->watch != 0)) {
+        return;
+    }
+    if (is_on) {
+        char *key = g_strconcat(control->source->retire_prefix, control->node,
+                                NULL);
+        retire->watch = platform_watch(control->platform, key, &control->task,
+                                       NULL, on_event);
+        g_free(key);
+    }
+    else {
+        platform_unwatch(control->platform, retire->watch);
+        retire->watch = 0;
+    }
+}
+
+/* Tells the operator once the node's work has moved. */
+void
+control_retire_tick(struct control *control)
+{
+    const struct control_retire *retire = &control->retire;
+
+    if (retire->is_asked && !retire->is_told && !retire->is_telling &&
+        control->now_ms >= retire->tell_ms) {
+        tell(control);
+    }
+}
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -6,6 +6,7 @@
     FIRST_BYTE_MS = 30000, /* of an engine; earlier silence is hedged */
     MAX_PATH = 1024,
     QUEUE_MARGIN_MS = 20, /* kept of the deadline to answer the caller */
+    FIRST_PIECE_MS = 80,  /* from the grant to the first piece, as measured */
     DIRECT_CHOICES = 3,   /* asked without waiting, before queueing */
 };
 
@@ -210,6 +211,19 @@
     control_ask_free(ask);
 }
 
+/* How long a grant may take and its first piece still be on time. */
+static int64_t
+prefer_ms(const struct exchange *exchange)
+{
+    int64_t waited_ms =
+        (base_clock_us() - exchange->request->started_us) / 1000;
+
+    if (exchange->target_ms == 0) {
+        return 0;
+    }
+    return MAX(exchange->target_ms - FIRST_PIECE_MS - waited_ms, 1);
+}
+
 static void
 ask_server(struct attempt *attempt, int server, int64_t wait_ms)
 {
@@ -225,6 +239,7 @@
     g_strlcpy(ask->operator_name, exchange->request->operator_name,
               sizeof(ask->operator_name));
     ask->wait_ms = wait_ms;
+    ask->prefer_ms = prefer_ms(exchange);
     ask->slots = 1;
     ask->context = attempt;
     front->n_calls++;
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -391,6 +391,7 @@
     exchange->body = request->body->str;
     exchange->body_size = request->body->len;
     exchange->max_runs = route->max_attempts;
+    exchange->target_ms = route->target_ms;
     exchange->place.is_idempotent =
         route->kind == WORLD_INGRESS_SAFE || may_resume;
     if (resumed != NULL) {
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -141,6 +141,7 @@
         .places = settings->site.places,
         .n_places = settings->site.n_places,
         .n_watchers = settings->site.n_watchers,
+        .may_retire = settings->site.may_retire,
     };
 
     node->control = control_start(&desc, err);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -38,6 +38,7 @@
     char *callers; /* "IP:port" to listen on; NULL: takes no requests */
     char *probes;  /* for the balancer's checks; NULL: with the callers */
     char *metrics; /* NULL: with the callers */
+    bool may_retire; /* the operator may have this machine emptied */
     char *jobs;    /* for other nodes' calls about jobs; NULL: runs none */
     struct world_place *places;
     int n_places;
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -19,7 +19,8 @@
     "announce", "source",      "site",         NULL,
 };
 static const char *const KNOWN_SITE[] = {
-    "callers", "probes", "metrics", "jobs", "zones", "watchers", NULL};
+    "callers", "probes", "metrics", "jobs",
+    "zones",   "watchers", "may_retire", NULL};
 static const char *const KNOWN_HTTP[] = {"address", "port", "certificate",
                                          "key", NULL};
 static const char *const KNOWN_KEYS[] = {"public", "secret", "peers", NULL};
@@ -271,6 +272,7 @@
 {
     struct node_site_settings *site = &settings->site;
     json_t *json = json_object_get(root, "site");
+    json_t *may_retire = json_object_get(json, "may_retire");
     int64_t n_watchers = 0;
 
     if (json == NULL || json_is_null(json)) {
@@ -280,7 +282,13 @@
         base_error_set(err, BASE_INVALID, "$.site: must be an object");
         return false;
     }
+    if (may_retire != NULL && !json_is_boolean(may_retire)) {
+        base_error_set(err, BASE_INVALID,
+                       "$.site.may_retire: must be true or false");
+        return false;
+    }
     site->is_set = true;
+    site->may_retire = json_is_true(may_retire);
     if (!check_members(json, "$.site", KNOWN_SITE, err) ||
         !read_address(json, "$.site", "callers", TEXT_OPTIONAL,
                       &site->callers, err) ||
--- a/packages/platform/codec.c
+++ b/packages/platform/codec.c
@@ -117,15 +117,17 @@
 
 /* A value as it is stored: the write's identity, then the bytes. */
 GByteArray *
-platform_with_identity(const char *write_id, GBytes *value)
+platform_stored_value(const struct platform_kv *kv, GBytes *value)
 {
     size_t size = 0;
     const void *data = value != NULL ? g_bytes_get_data(value, &size) : NULL;
     GByteArray *stored = g_byte_array_sized_new((guint)(ID_SIZE + size));
 
-    g_byte_array_append(stored, (const guint8 *)"w:", 2);
-    g_byte_array_append(stored, (const guint8 *)write_id, ID_DIGITS);
-    g_byte_array_append(stored, (const guint8 *)"\n", 1);
+    if (!kv->is_plain) {
+        g_byte_array_append(stored, (const guint8 *)"w:", 2);
+        g_byte_array_append(stored, (const guint8 *)kv->write_id, ID_DIGITS);
+        g_byte_array_append(stored, (const guint8 *)"\n", 1);
+    }
     g_byte_array_append(stored, data, (guint)size);
     return stored;
 }
@@ -134,7 +136,7 @@
 append_put(const struct platform_kv *kv, const char *key, GBytes *value,
            int64_t lease, GString *out)
 {
-    GByteArray *stored = platform_with_identity(kv->write_id, value);
+    GByteArray *stored = platform_stored_value(kv, value);
 
     g_string_append(out, "{\"request_put\":{");
     append_key(out, key);
--- a/packages/platform/dialect.h
+++ b/packages/platform/dialect.h
@@ -67,8 +67,8 @@
 /* ---- for dialects ---- */
 
 /* A stored value is the identity of its write and then the caller's bytes;
- * a value of another writer has no identity. */
-GByteArray *platform_with_identity(const char *write_id, GBytes *value);
+ * a plain one, or one of another writer, has no identity. */
+GByteArray *platform_stored_value(const struct platform_kv *kv, GBytes *value);
 void platform_read_value(struct platform_entry *entry, const void *bytes,
                          size_t size, char write_id[17]);
 void platform_entry_finish(struct platform_entry *entry);
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -17,7 +17,8 @@
  * the verdict BASE_MAY_HAVE_RUN says that an earlier try of this write may
  * have taken effect and been replaced by another writer since.  Writes with
  * PLATFORM_ANY replace whatever is there, also when sent again: they are for
- * records with one writer.
+ * records with one writer.  A plain write has no identity, so that another
+ * program can read the value: a lost answer then ends in PLATFORM_CONFLICT.
  */
 #ifndef CARDAMOM_PLATFORM_H
 #define CARDAMOM_PLATFORM_H
@@ -81,6 +82,7 @@
     int64_t ttl_ms;          /* PLATFORM_LEASE_GRANT, and in its answer */
     GPtrArray *conditions;   /* PLATFORM_TXN; see platform_kv_expect */
     GPtrArray *writes;       /* PLATFORM_TXN; see platform_kv_write */
+    bool is_plain;           /* the value has no identity: others read it */
     int64_t timeout_ms;      /* 0: default */
     int64_t limit;           /* PLATFORM_LIST; 0: all */
     char *after;             /* PLATFORM_LIST: only keys after this one */
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -1313,7 +1313,7 @@
   (ProtobufCMessageInit) control__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor control__ask__field_descriptors[12] =
 {
   {
     "server",
@@ -1447,10 +1447,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefer_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Ask, prefer_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__ask__field_indices_by_name[] = {
   8,   /* field[8] = ask_id */
   1,   /* field[1] = operator_name */
+  11,   /* field[11] = prefer_ms */
   7,   /* field[7] = renew */
   0,   /* field[0] = server */
   5,   /* field[5] = slots */
@@ -1464,7 +1477,7 @@
 static const ProtobufCIntRange control__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor control__ask__descriptor =
 {
@@ -1474,7 +1487,7 @@
   "Control__Ask",
   "control",
   sizeof(Control__Ask),
-  11,
+  12,
   control__ask__field_descriptors,
   control__ask__field_indices_by_name,
   1,  control__ask__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -117,10 +117,14 @@
   uint64_t ask_id;
   ProtobufCBinaryData trace_id;
   ProtobufCBinaryData span_id;
+  /*
+   * the ask is in time while it waited less 
+   */
+  int64_t prefer_ms;
 };
 #define CONTROL__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
 
 
 struct  Control__Answer
--- a/packages/world/site.h
+++ b/packages/world/site.h
@@ -88,6 +88,11 @@
     bool (*decode_server)(const char *key, const char *text, size_t size,
                           struct world_registration *out,
                           struct base_error *err);
+    /* The operator asks for a machine to be emptied by writing below
+     * retire_prefix, and reads the answer below retired_prefix. */
+    const char *retire_prefix;
+    const char *retired_prefix;
+    const char *retired_text; /* the machine holds nothing any more */
 };
 
 void world_site_free(struct world_site *site);
