--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -124,6 +124,8 @@
 struct front_transport {
     bool (*write_head)(struct front_request *request);
     int write_kind; /* of enum lws_write_protocol */
+    /* Asks, from within a write, to be called for the next one. */
+    void (*again)(struct front_request *request);
     /* The answer is out and the connection stays; -1: close it. */
     int (*next)(struct front_connection *connection, struct lws *wsi);
 };
--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -78,17 +78,32 @@
     return 0;
 }
 
+/* The head's bytes, however they came. */
+static size_t
+measure_head(const struct http1 *http1, const char *method)
+{
+    size_t size =
+        strlen(method) + http1->target->len + strlen("  HTTP/1.1\r\n\r\n");
+
+    for (guint i = 0; i < http1->fields->len; i++) {
+        size += strlen(http1->fields->pdata[i]) + strlen(": ");
+    }
+    return size;
+}
+
 static int
 on_head(http_parser *parser)
 {
     struct http1 *http1 = parser->data;
+    size_t size =
+        measure_head(http1, http_method_str(parser->method));
     bool has_length = parser->content_length != UINT64_MAX &&
                       parser->content_length <= INT64_MAX;
     struct http1_head head = {
         .method = http_method_str(parser->method),
         .target = http1->target->str,
         .fields = g_steal_pointer(&http1->fields),
-        .size = http1->head_size,
+        .size = size,
         .is_chunked = (parser->flags & F_CHUNKED) != 0,
         .is_kept = http_should_keep_alive(parser) != 0,
     };
--- a/packages/front/peer.c
+++ b/packages/front/peer.c
@@ -28,6 +28,7 @@
     int64_t head_ms; /* when the head began to arrive; 0: none does */
     int64_t rest_ms; /* since when no request is open */
     bool is_broken;  /* not to be parsed any more */
+    lws_sorted_usec_list_t again;
 };
 
 static void
@@ -195,7 +196,7 @@
     if (peer->is_broken) {
         return 0;
     }
-    if (http1_is_waiting(peer->http1)) {
+    if (http1_is_waiting(peer->http1) || peer->behind->len > 0) {
         g_string_append_len(peer->behind, data, (gssize)size);
         if (peer->behind->len > MAX_BEHIND) {
             lws_rx_flow_control(peer->wsi, 0);
@@ -205,23 +206,55 @@
     return feed(peer, data, size) ? 0 : -1;
 }
 
+/* What can't be done within a write: the library would forget a wish to
+ * write on that comes from there. */
+static void
+go_on(lws_sorted_usec_list_t *timer)
+{
+    struct front_peer *peer =
+        lws_container_of(timer, struct front_peer, again);
+    GString *behind = peer->behind;
+
+    if (peer->connection.request != NULL) {
+        lws_callback_on_writable(peer->wsi);
+        return;
+    }
+    if (behind->len == 0) {
+        return;
+    }
+    peer->behind = g_string_new(NULL);
+    if (!feed(peer, behind->str, behind->len)) {
+        lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_ASYNC);
+    }
+    g_string_free(behind, TRUE);
+}
+
+static void
+go_on_soon(struct front_peer *peer)
+{
+    lws_sul_schedule(peer->front->lws, 0, &peer->again, go_on, 1);
+}
+
+static void
+write_again(struct front_request *request)
+{
+    go_on_soon((struct front_peer *)request->connection);
+}
+
 /* The answer to a request is out: the next one may have come meanwhile. */
 static int
 next_on_raw(struct front_connection *connection, struct lws *wsi)
 {
     struct front_peer *peer = (struct front_peer *)connection;
-    GString *behind = peer->behind;
-    bool is_ok = true;
 
     http1_next(peer->http1);
     peer->rest_ms = base_clock_ms();
     lws_rx_flow_control(wsi, 1);
-    if (behind->len > 0) {
-        peer->behind = g_string_new(NULL);
-        is_ok = feed(peer, behind->str, behind->len);
-        g_string_free(behind, TRUE);
+    if (peer->behind->len > 0) {
+        go_on_soon(peer);
     }
-    return is_ok ? 0 : -1;
+    return 0;
 }
 
 static bool
@@ -253,7 +286,7 @@
 }
 
 static const struct front_transport RAW = {write_head, LWS_WRITE_RAW,
-                                          next_on_raw};
+                                           write_again, next_on_raw};
 
 /* ---- connections ---- */
 
@@ -277,6 +310,7 @@
 on_close(struct lws *wsi, struct front_peer *peer)
 {
     lws_set_opaque_user_data(wsi, NULL);
+    lws_sul_cancel(&peer->again);
     if (peer->connection.request != NULL) {
         front_request_closed(peer->connection.request);
     }
--- a/packages/front/response.c
+++ b/packages/front/response.c
@@ -195,8 +195,14 @@
     return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
+static void
+write_again(struct front_request *request)
+{
+    lws_callback_on_writable(request->wsi);
+}
+
 const struct front_transport FRONT_HTTP = {write_head, LWS_WRITE_HTTP,
-                                           next_on_http};
+                                           write_again, next_on_http};
 
 static bool
 write_out(struct front_request *request)
@@ -250,7 +256,7 @@
     }
     if (front_pending(request) > 0 ||
         lws_partial_buffered(request->wsi) != 0) {
-        lws_callback_on_writable(request->wsi);
+        request->transport->again(request);
     }
     else if (request->is_ended) {
         return finish_answer(request);
--- /dev/null
+++ b/packages/front/test_ingress.cc
@@ -0,0 +1,401 @@
+#include "front/test_support.h"
+
+#include <atomic>
+
+extern "C" {
+#include "front/edge.h"
+#include "world/site.h"
+}
+
+namespace {
+
+enum front_edge_call
+find_call(const char *method, const char *path, char *id, size_t id_size)
+{
+    if (strcmp(path, "/ready") == 0) {
+        return FRONT_EDGE_READY;
+    }
+    return FRONT_EDGE_NONE;
+}
+
+void
+read_prompt(const char *(*header)(const void *, const char *),
+            const void *context, struct front_edge_prompt *out)
+{
+}
+
+const char *const PASSED_ON[] = {"x-proof", nullptr};
+
+struct front_edge
+make_edge()
+{
+    struct front_edge edge = {};
+    edge.request_id = "x-id";
+    edge.deadline_ms = "x-left-ms";
+    edge.expected_server = "x-server";
+    edge.last_event_id = "last-event-id";
+    edge.wait_ms = "x-wait-ms";
+    edge.refused_unrun = "x-refused";
+    edge.passed_on = PASSED_ON;
+    edge.misdirected_status = 421;
+    edge.find_call = find_call;
+    edge.read_prompt = read_prompt;
+    return edge;
+}
+
+const struct front_edge EDGE = make_edge();
+
+struct Ingress : public Front {
+    enum world_ingress_kind kind = WORLD_INGRESS_STREAM;
+    bool is_resumable = false;
+    int max_attempts = 2;
+    int64_t timeout_ms = 5000;
+    std::string address;
+
+    void
+    begin(const std::vector<struct test_server *> &engines)
+    {
+        struct base_error err = {};
+        port = free_port();
+        address = "127.0.0.1:" + std::to_string(port);
+        static const char *addresses[1];
+        addresses[0] = address.c_str();
+        desc.edge = &EDGE;
+        desc.edge_addresses = addresses;
+        desc.n_edge_addresses = 1;
+        front = front_start(&desc, &err);
+        ASSERT_NE(front, nullptr) << err.text;
+        if (!engines.empty()) {
+            world = make_site(engines);
+            front_update(front, world, nullptr);
+        }
+    }
+
+    static int
+    free_port()
+    {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        struct sockaddr_in at = {};
+        socklen_t size = sizeof(at);
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(fd, (struct sockaddr *)&at, sizeof(at));
+        getsockname(fd, (struct sockaddr *)&at, &size);
+        close(fd);
+        return ntohs(at.sin_port);
+    }
+
+    struct world *
+    make_site(const std::vector<struct test_server *> &engines)
+    {
+        struct world_site_split split = {(char *)"s", 1};
+        struct world_site_route routes[2] = {};
+        struct world_site_service service = {(char *)"s", 8, 0};
+        struct world_place place = {(char *)"a", (char *)"r"};
+        struct world_site site = {};
+        std::vector<struct world_registration> servers(engines.size());
+        std::vector<const struct world_registration *> list;
+        std::vector<std::string> names;
+
+        routes[0].name = (char *)"r";
+        routes[0].host = (char *)"h.example";
+        routes[0].prefix = (char *)"/a/";
+        routes[0].kind = kind;
+        routes[0].splits = &split;
+        routes[0].n_splits = 1;
+        routes[0].timeout_ms = timeout_ms;
+        routes[0].target_ms = 300;
+        routes[0].max_attempts = max_attempts;
+        routes[0].is_resumable = is_resumable;
+        for (size_t i = 0; i < engines.size(); i++) {
+            names.push_back("e" + std::to_string(i + 1));
+        }
+        for (size_t i = 0; i < engines.size(); i++) {
+            servers[i].id = (char *)names[i].c_str();
+            servers[i].service = (char *)"s";
+            servers[i].host = (char *)"127.0.0.1";
+            servers[i].port = engines[i]->port;
+            servers[i].zone = (char *)"a";
+            servers[i].slots = 8;
+            list.push_back(&servers[i]);
+        }
+        site.number = 3;
+        site.services = &service;
+        site.n_services = 1;
+        site.routes = routes;
+        site.n_routes = 1;
+        site.header_bytes = 2000;
+        site.body_bytes = 1000;
+        site.header_ms = 3000;
+        site.idle_ms = 15000;
+        return world_of_site(&site, &place, 1, list.data(),
+                             (int)list.size());
+    }
+};
+
+std::string
+post(const std::string &path, const std::string &body,
+     const std::string &headers = "")
+{
+    return "POST " + path + " HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n" +
+           headers + "content-length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string
+chunk(const std::string &text)
+{
+    char size[16];
+    g_snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+std::string
+event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: t" +
+           std::to_string(number) + "\n\n";
+}
+
+std::string
+stream_head(const std::string &request, const std::string &proof = "p1")
+{
+    return "HTTP/1.1 200 OK\r\nx-id: " + test_header(request, "x-id") +
+           "\r\nx-proof: " + proof +
+           "\r\ncontent-type: text/event-stream\r\n"
+           "transfer-encoding: chunked\r\n\r\n";
+}
+
+void
+stream(int fd, const std::string &request)
+{
+    int after = atoi(test_header(request, "last-event-id").c_str());
+    std::string text = stream_head(request);
+    for (int i = after + 1; i <= 3; i++) {
+        text += chunk(event(i));
+    }
+    test_write(fd, text + "0\r\n\r\n");
+}
+
+TEST_F(Ingress, AStreamIsRelayedWithItsProof)
+{
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = request;
+        stream(fd, request);
+    });
+    begin({&engine});
+    struct answer answer =
+        ask(post("/a/x?y=%26", "body", "x-model: m\r\nx-left-ms: 4000\r\n"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.headers["x-proof"], "p1");
+    EXPECT_EQ(answer.headers["x-id"], "q1");
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(seen.substr(0, seen.find("\r\n")),
+              "POST /a/x?y=%26 HTTP/1.1");
+    EXPECT_EQ(test_header(seen, "x-model"), "m");
+    EXPECT_EQ(test_header(seen, "x-server"), "e1");
+    int left = atoi(test_header(seen, "x-left-ms").c_str());
+    EXPECT_GT(left, 0);
+    EXPECT_LE(left, 4000);
+    EXPECT_EQ(seen.substr(seen.find("\r\n\r\n") + 4), "body");
+}
+
+TEST_F(Ingress, ABodyInChunksReachesTheServerWhole)
+{
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = request.substr(request.find("\r\n\r\n") + 4);
+        stream(fd, request);
+    });
+    begin({&engine});
+    struct answer answer =
+        ask("POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n"
+            "transfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(seen, "abc");
+}
+
+TEST_F(Ingress, RefusalsByCases)
+{
+    struct test_server engine(stream);
+    begin({&engine});
+    struct {
+        const char *name;
+        std::string request;
+        int status;
+    } cases[] = {
+        {"no such path", post("/b/x", ""), 404},
+        {"no such host",
+         "GET /a/x HTTP/1.1\r\nhost: other\r\nx-id: q\r\n\r\n", 404},
+        {"no host", "GET /a/x HTTP/1.1\r\nx-id: q\r\n\r\n", 404},
+        {"too large", post("/a/x", std::string(1001, 'x')), 413},
+        {"too large in chunks",
+         "POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n"
+         "transfer-encoding: chunked\r\n\r\n" +
+             chunk(std::string(1001, 'x')) + "0\r\n\r\n",
+         413},
+        {"too large a head",
+         post("/a/x", "", "x-long: " + std::string(2500, 'x') + "\r\n"), 431},
+        {"no HTTP", "nonsense\r\n\r\n", 400},
+        {"ready", "GET /ready HTTP/1.1\r\nx-id: q\r\n\r\n", 200},
+    };
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        EXPECT_EQ(ask(row.request).status, row.status);
+    }
+}
+
+TEST_F(Ingress, ANodeWithoutAConfigurationSays503)
+{
+    begin({});
+    struct answer answer = ask(post("/a/x", ""));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.headers["x-cardamompick-ran"], "no");
+}
+
+TEST_F(Ingress, ABrokenStreamThatMayNotRunTwiceEndsWithoutItsEnd)
+{
+    std::atomic<int> n_runs{0};
+    struct test_server engine([&](int fd, const std::string &request) {
+        n_runs++;
+        test_write(fd, stream_head(request) + chunk(event(1) + "id: 2\nda"));
+    });
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_FALSE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1));
+    EXPECT_EQ(n_runs, 1);
+}
+
+TEST_F(Ingress, AResumableStreamGoesOnAfterItsLastWholeEvent)
+{
+    std::atomic<int> n_runs{0};
+    std::string resumed;
+    auto script = [&](int fd, const std::string &request) {
+        if (n_runs++ == 0) {
+            test_write(fd,
+                       stream_head(request) + chunk(event(1) + "id: 2\nda"));
+            return;
+        }
+        resumed = test_header(request, "last-event-id");
+        stream(fd, request);
+    };
+    struct test_server one(script);
+    struct test_server two(script);
+    is_resumable = true;
+    begin({&one, &two});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_TRUE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
+    EXPECT_EQ(answer.headers["x-proof"], "p1") << "of the first server";
+    EXPECT_EQ(resumed, "1");
+}
+
+TEST_F(Ingress, MoreServersThanTheRouteAllowsNeverRunIt)
+{
+    std::atomic<int> n_runs{0};
+    auto script = [&](int fd, const std::string &request) {
+        n_runs++;
+        test_write(fd, stream_head(request));
+    };
+    struct test_server one(script);
+    struct test_server two(script);
+    struct test_server three(script);
+    is_resumable = true;
+    max_attempts = 2;
+    begin({&one, &two, &three});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(n_runs, 2);
+}
+
+TEST_F(Ingress, AServersOwnRefusalIsTriedElsewhereAndSaidTruly)
+{
+    std::atomic<int> n_refused{0};
+    auto refuse = [&](int fd, const std::string &request) {
+        n_refused++;
+        test_write(fd, "HTTP/1.1 503 Busy\r\nx-refused: 1\r\n"
+                       "content-length: 0\r\n\r\n");
+    };
+    struct test_server one(refuse);
+    struct test_server two(refuse);
+    begin({&one, &two});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_GE(n_refused, 2);
+    EXPECT_NE(answer.headers["retry-after"], "");
+    EXPECT_EQ(answer.headers["x-proof"], "") << "no server made this answer";
+}
+
+TEST_F(Ingress, AFailureAfterSendingIsNeverCalledUnrun)
+{
+    struct test_server engine([](int, const std::string &) {});
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.headers["x-cardamompick-ran"], "maybe");
+}
+
+TEST_F(Ingress, AServersFailureIsPassedOnUnchanged)
+{
+    struct test_server engine([](int fd, const std::string &request) {
+        test_write(fd, "HTTP/1.1 500 No\r\nx-id: " +
+                           test_header(request, "x-id") +
+                           "\r\nx-proof: p5\r\ncontent-length: 4\r\n\r\noops");
+    });
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 500);
+    EXPECT_EQ(answer.headers["x-proof"], "p5");
+    EXPECT_EQ(answer.body, "oops");
+}
+
+TEST_F(Ingress, AnAnswerToAnotherRequestReachesNobody)
+{
+    struct test_server engine([](int fd, const std::string &request) {
+        test_write(fd, "HTTP/1.1 200 OK\r\nx-id: other\r\nx-proof: p\r\n"
+                       "content-length: 3\r\n\r\nbad");
+    });
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.headers["x-proof"], "");
+}
+
+TEST_F(Ingress, TheRoutesTimeEndsARequest)
+{
+    struct test_server engine([](int fd, const std::string &) {
+        test_wait_for_close(fd);
+    });
+    timeout_ms = 200;
+    begin({&engine});
+    EXPECT_EQ(ask(post("/a/x", "b")).status, 504);
+}
+
+TEST_F(Ingress, TwoRequestsOfOneConnectionAreAnsweredInOrder)
+{
+    struct test_server engine(stream);
+    begin({&engine});
+    int fd = test_connect(port);
+    test_write(fd, post("/a/1", "b") + post("/b/none", ""));
+    EXPECT_EQ(test_read_answer(fd).status, 200);
+    EXPECT_EQ(test_read_answer(fd).status, 404);
+    close(fd);
+}
+
+TEST_F(Ingress, AStoppingNodeTakesNoLateRequests)
+{
+    struct test_server engine(stream);
+    begin({&engine});
+    front_drain(front);
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.headers["connection"], "close");
+    g_usleep(4100000);
+    EXPECT_EQ(ask(post("/a/x", "b")).status, 503);
+}
+
+} // namespace
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -315,6 +315,17 @@
     return packed;
 }
 
+/* A copy with a zero byte behind it; the bytes may hold zeros, too. */
+static char *
+copy_bytes(const void *bytes, size_t size)
+{
+    char *copy = g_malloc(size + 1);
+
+    memcpy(copy, bytes, size);
+    copy[size] = '\0';
+    return copy;
+}
+
 struct reader {
     const guint8 *at;
     const guint8 *end;
@@ -349,7 +360,7 @@
         reader->end - reader->at < (ptrdiff_t)size) {
         return false;
     }
-    out->text = g_strndup((const char *)reader->at, size);
+    out->text = copy_bytes(reader->at, size);
     out->size = size;
     reader->at += size;
     return true;
@@ -364,8 +375,8 @@
 
     g_strlcpy(result->id, id, sizeof(result->id));
     result->is_completed = is_completed;
-    result->text = g_strndup(text, is_completed ? size : 0);
     result->size = is_completed ? size : 0;
+    result->text = copy_bytes(text, result->size);
     return result;
 }
 
--- /dev/null
+++ b/packages/jobs/test_record.cc
@@ -0,0 +1,185 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "jobs/events.h"
+#include "jobs/record.h"
+
+namespace {
+
+struct jobs_head
+make_head()
+{
+    struct jobs_head head;
+    int64_t tokens[] = {10, 20, 30};
+    struct jobs_listed listed[] = {{2, true}, {0, false}};
+
+    jobs_head_init(&head, "j");
+    head.host = g_strdup("h");
+    head.path = g_strdup("/p");
+    head.route = g_strdup("r");
+    head.submitted_ms = 123;
+    g_strlcpy(head.runner, "n#1", sizeof(head.runner));
+    head.epoch = 4;
+    head.n_result_pieces = 2;
+    g_array_append_vals(head.tokens, tokens, 3);
+    g_array_append_vals(head.listed, listed, 2);
+    return head;
+}
+
+TEST(Record, AHeadComesBackAsItWas)
+{
+    struct jobs_head head = make_head();
+    struct jobs_head back;
+    struct base_error err = {};
+    GBytes *bytes = jobs_head_encode(&head);
+
+    ASSERT_TRUE(jobs_head_decode("j", bytes, &back, &err)) << err.text;
+    EXPECT_STREQ(back.runner, "n#1");
+    EXPECT_EQ(back.epoch, 4);
+    EXPECT_EQ(back.n_result_pieces, 2);
+    ASSERT_EQ(back.listed->len, 2u);
+    EXPECT_EQ(g_array_index(back.listed, struct jobs_listed, 1).item, 0);
+    EXPECT_FALSE(
+        g_array_index(back.listed, struct jobs_listed, 1).is_completed);
+    EXPECT_EQ(jobs_head_waiting_tokens(&back), 20);
+    EXPECT_TRUE(jobs_head_is_open(&back));
+    back.is_ended = true;
+    EXPECT_EQ(jobs_head_waiting_tokens(&back), 0);
+    g_bytes_unref(bytes);
+    jobs_head_finish(&head);
+    jobs_head_finish(&back);
+}
+
+TEST(Record, AHeadThatCannotBeReadIsSaidSo)
+{
+    static const char *const TEXTS[] = {
+        "", "{", "[]", "{\"tokens\":[]}",
+        "{\"tokens\":[1],\"listed\":[1]}"};
+
+    for (const char *text : TEXTS) {
+        SCOPED_TRACE(text);
+        struct jobs_head head;
+        struct base_error err = {};
+        GBytes *bytes = g_bytes_new(text, strlen(text));
+        EXPECT_FALSE(jobs_head_decode("j", bytes, &head, &err));
+        EXPECT_EQ(err.code, BASE_CORRUPT);
+        g_bytes_unref(bytes);
+    }
+}
+
+TEST(Record, ResultsComeBackAlsoWithOddBytes)
+{
+    GPtrArray *results = g_ptr_array_new_with_free_func(jobs_result_free);
+    GPtrArray *back = g_ptr_array_new_with_free_func(jobs_result_free);
+    struct base_error err = {};
+
+    g_ptr_array_add(results, jobs_result_new("a", true, "x\0\xff", 3));
+    g_ptr_array_add(results, jobs_result_new("b", false, "dropped", 7));
+    GBytes *bytes = jobs_results_encode(results);
+    ASSERT_TRUE(jobs_results_decode(bytes, back, &err)) << err.text;
+    ASSERT_EQ(back->len, 2u);
+    auto *first = (struct jobs_result *)back->pdata[0];
+    EXPECT_EQ(std::string(first->text, first->size),
+              std::string("x\0\xff", 3));
+    EXPECT_EQ(((struct jobs_result *)back->pdata[1])->size, 0u);
+    /* Cut anywhere, it is an error and no crash. */
+    for (gsize size = 0; size < g_bytes_get_size(bytes); size++) {
+        GBytes *cut = g_bytes_new_from_bytes(bytes, 0, size);
+        GPtrArray *none = g_ptr_array_new_with_free_func(jobs_result_free);
+        EXPECT_FALSE(jobs_results_decode(cut, none, &err));
+        g_ptr_array_free(none, TRUE);
+        g_bytes_unref(cut);
+    }
+    g_bytes_unref(bytes);
+    g_ptr_array_free(results, TRUE);
+    g_ptr_array_free(back, TRUE);
+}
+
+TEST(Record, ALongTextIsCutIntoPieces)
+{
+    std::string text;
+    struct base_error err = {};
+    uint32_t state = 1;
+
+    while (text.size() < 2000000) {
+        state = state * 1664525 + 1013904223;
+        text += (char)(state >> 24);
+    }
+    GBytes *bytes = g_bytes_new(text.data(), text.size());
+    GPtrArray *pieces = jobs_text_split(bytes);
+    EXPECT_GE(pieces->len, 3u);
+    GBytes *back = jobs_text_join(pieces, &err);
+    ASSERT_NE(back, nullptr) << err.text;
+    EXPECT_TRUE(g_bytes_equal(bytes, back));
+    g_bytes_unref(back);
+    g_ptr_array_set_size(pieces, (gint)pieces->len - 1);
+    EXPECT_EQ(jobs_text_join(pieces, &err), nullptr);
+    g_ptr_array_free(pieces, TRUE);
+    g_bytes_unref(bytes);
+}
+
+TEST(Events, TextsByCases)
+{
+    struct {
+        const char *name;
+        std::vector<std::string> parts;
+        std::string text;
+        bool is_whole;
+        bool may_resume;
+    } cases[] = {
+        {"whole", {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, "a\nb", true,
+         true},
+        {"cut in an event", {"id: 1\ndata: a\n\nid: 2\nda"}, "a", false,
+         true},
+        {"in small pieces", {"id", ": 1\nda", "ta: a\n", "\n"}, "a", true,
+         true},
+        {"data of two lines", {"id: 1\ndata: a\ndata: b\n\n"}, "a\nb", true,
+         true},
+        {"a field that is not known", {"x-weight: 3\nid: 1\ndata: a\n\n"},
+         "a", true, true},
+        {"a comment between", {"id: 1\ndata: a\n\n: ping\n\n"}, "a", true,
+         true},
+        {"an event is missing", {"id: 1\ndata: a\n\nid: 3\ndata: c\n\n"}, "a",
+         false, false},
+        {"an event twice", {"id: 1\ndata: a\n\nid: 1\ndata: a\n\n"}, "a",
+         false, false},
+        {"without ids", {"data: a\n\ndata: b\n\n"}, "a\nb", true, false},
+        {"nothing", {}, "", false, false},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        struct jobs_events events;
+        jobs_events_init(&events);
+        jobs_events_begin(&events, false);
+        for (const auto &part : row.parts) {
+            jobs_events_feed(&events, part.data(), part.size());
+        }
+        EXPECT_EQ(std::string(events.text->str, events.text->len), row.text);
+        EXPECT_EQ(jobs_events_are_whole(&events), row.is_whole);
+        EXPECT_EQ(jobs_events_may_resume(&events), row.may_resume);
+        jobs_events_finish(&events);
+    }
+}
+
+TEST(Events, ARunThatSkipsAnEventOnResumingIsWrong)
+{
+    struct jobs_events events;
+    static const char FIRST[] = "id: 1\ndata: a\n\n";
+    static const char NEXT[] = "id: 3\ndata: c\n\n";
+
+    jobs_events_init(&events);
+    jobs_events_begin(&events, false);
+    jobs_events_feed(&events, FIRST, strlen(FIRST));
+    jobs_events_begin(&events, true);
+    jobs_events_feed(&events, NEXT, strlen(NEXT));
+    EXPECT_FALSE(jobs_events_are_whole(&events));
+    jobs_events_begin(&events, false);
+    EXPECT_EQ(events.count, 0);
+    EXPECT_EQ(events.text->len, 0u);
+    jobs_events_finish(&events);
+}
+
+} // namespace
