--- /dev/null
+++ b/bench/site_path.py
@@ -0,0 +1,290 @@
+#!/usr/bin/env python3
+"""The whole path of a site over real processes, without the users' bench.
+
+    bench/site_path.py BUILD_FOLDER [CHECK...]
+
+Starts a site's stand-ins and three nodes, and checks from what callers and
+engines see: streams, jobs, a changed configuration, a draining server, a
+store that is away, a node that is killed, a planned stop.  Prints one line a
+check and ends with 'N passed, M failed'.
+"""
+import base64
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+HERE = pathlib.Path(__file__).resolve().parent
+import importlib.util  # noqa: E402
+
+spec = importlib.util.spec_from_file_location(
+    "site_standins", HERE.parent / "standins" / "site.py")
+standins = importlib.util.module_from_spec(spec)
+spec.loader.exec_module(standins)
+
+PATIENCE_S = 15  # for what has to happen at some time; no check is of speed
+HOST = {"Host": "desk.example"}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Node:
+    def __init__(self, binary, name, zone, site, seeds, folder):
+        self.callers = free_port()
+        self.control = seeds[0] if name == "n1" else free_port()
+        self.path = folder / f"{name}.json"
+        self.log = open(folder / f"{name}.log", "ab")
+        self.binary = binary
+        self.path.write_text(json.dumps({
+            "name": name, "zone": zone, "source": "127.0.0.1",
+            "control": f"127.0.0.1:{self.control}",
+            "seeds": [f"127.0.0.1:{port}" for port in seeds],
+            "platform": {"kv": [f"127.0.0.1:{site.store.port}"]},
+            "drain_ms": 8000,
+            "site": {"callers": f"127.0.0.1:{self.callers}",
+                     "jobs": f"127.0.0.1:{free_port()}", "watchers": 1,
+                     "zones": {"a": "north", "b": "north"}}}))
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [self.binary, "--settings", str(self.path)], stdout=self.log,
+            stderr=self.log)
+
+    def call(self, method, path, body=None, headers=None):
+        """Status, headers and body; status 0 when there is no answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.callers,
+                                                timeout=15)
+        try:
+            connection.request(method, path, body, {**HOST, **(headers or {})})
+            answer = connection.getresponse()
+            return answer.status, answer.headers, answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, {}, b""
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        return self.call("GET", "/cardamompick/readyz")[0] == 200
+
+    def ask(self, request_id, path="/ask/x"):
+        return self.call("POST", path, b"question",
+                         {"X-Attempt-Id": request_id, "X-Model": "m",
+                          "X-Token-Counts": "10,20", "X-Deadline-Ms": "6000"})
+
+    def submit(self, job, items):
+        body = {"items": [{
+            "id": item, "path": f"/sheets/{item}",
+            "headers": {"X-Model": "m"}, "tokens": 100,
+            "body": base64.b64encode(item.encode()).decode()}
+            for item in items]}
+        return self.call("POST", "/sheets/new", json.dumps(body),
+                         {"X-Attempt-Id": job,
+                          "Content-Type": "application/json"})[0]
+
+    def results(self, job, after=0):
+        status, _, body = self.call(
+            "GET", f"/cardamompick/lots/{job}?after={after}", None,
+            {"X-Wait-Ms": "500"})
+        return json.loads(body) if status == 200 else None
+
+
+def wait_for(what):
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        value = what()
+        if value:
+            return value
+        time.sleep(0.05)
+    return None
+
+
+def whole_stream(request_id):
+    return "".join(f"id: {n}\ndata: {request_id}.{n}\n\n"
+                   for n in range(1, standins.EVENTS + 1)).encode()
+
+
+def whole_text(item):
+    return "\n".join(f"{item}.{n}" for n in range(1, standins.EVENTS + 1))
+
+
+def all_results(node, job, n):
+    def read():
+        answer = node.results(job)
+        return answer if answer and len(answer["results"]) == n else None
+    return wait_for(read)
+
+
+def check_stream(site, nodes):
+    status, headers, body = nodes[0].ask("s1")
+    return (status == 200 and body == whole_stream("s1") and
+            headers["X-Response-Seal"] == "seal-s1")
+
+
+def check_unknown(site, nodes):
+    return (nodes[1].ask("u1", "/none/x")[0] == 404 and
+            nodes[1].call("GET", "/cardamompick/lots/none")[0] == 404)
+
+
+def check_job(site, nodes):
+    items = [f"j1-{n}" for n in range(10)]
+    accepted = [node.submit("j1", items) for node in nodes]
+    answers = [all_results(node, "j1", 10) for node in nodes]
+    if accepted != [202] * 3 or not all(answers):
+        print("accepted", accepted, "read", [a is not None for a in answers])
+        return False
+    first = answers[0]["results"]
+    return (all(a["results"] == first for a in answers) and
+            {r["id"]: r["text"] for r in first} ==
+            {item: whole_text(item) for item in items} and
+            nodes[2].results("j1", 10)["results"] == [])
+
+
+def check_input_and_end(site, nodes):
+    nodes[0].submit("j2", [f"j2-{n}" for n in range(40)])
+    body = nodes[1].call("GET", "/cardamompick/items/j2?id=j2-39")
+    ended = [node.call("DELETE", "/cardamompick/lots/j2")[0]
+             for node in (nodes[1], nodes[0])]
+    time.sleep(3)
+    before = sum(len(engine.runs) for engine in site.engines)
+    time.sleep(1)
+    after = sum(len(engine.runs) for engine in site.engines)
+    return (body[0] == 200 and body[2] == b"j2-39" and ended == [200, 200]
+            and before == after)
+
+
+def check_configuration(site, nodes):
+    site.configure([{"name": "late", "host": "desk.example",
+                     "prefix": "/late/", "kind": "streaming",
+                     "timeoutMs": 8000, "targetLatencyMs": 300,
+                     "service": "llm", "maxAttempts": 1}])
+    return wait_for(lambda: all(node.ask("c1", "/late/x")[0] == 200
+                                for node in nodes))
+
+
+def check_draining_server(site, nodes):
+    leaving = site.engines[0]
+    site.register(leaving, "a", "draining")
+    time.sleep(3)
+    before = len(leaving.runs)
+    served = [nodes[n % 3].ask(f"d{n}")[0] for n in range(20)]
+    site.register(leaving, "a", "ready")
+    return served == [200] * 20 and len(leaving.runs) == before
+
+
+def check_unreadable_entry(site, nodes):
+    site.store.put("servers/i-odd", b"\xff\xfe not JSON")
+    time.sleep(2)
+    served = [node.ask("o1")[0] for node in nodes]
+    site.store.remove("servers/i-odd")
+    return served == [200] * 3
+
+
+def check_store_away(site, nodes):
+    site.store.refuse_for(4)
+    time.sleep(0.5)
+    served = [nodes[n % 3].ask(f"a{n}")[0] for n in range(9)]
+    refused = nodes[0].submit("j3", ["j3-0"])
+    time.sleep(4)
+    accepted = wait_for(lambda: nodes[0].submit("j3", ["j3-0"]) == 202)
+    return (served == [200] * 9 and refused in (503, 504) and accepted and
+            all_results(nodes[1], "j3", 1) is not None)
+
+
+def check_history_gone(site, nodes):
+    site.store.forget_history()
+    return check_configuration_again(site, nodes)
+
+
+def check_configuration_again(site, nodes):
+    site.configure([{"name": "later", "host": "desk.example",
+                     "prefix": "/later/", "kind": "streaming",
+                     "timeoutMs": 8000, "targetLatencyMs": 300,
+                     "service": "llm", "maxAttempts": 1}])
+    return wait_for(lambda: all(node.ask("c2", "/later/x")[0] == 200
+                                for node in nodes))
+
+
+def check_killed_runner(site, nodes):
+    items = [f"j4-{n}" for n in range(30)]
+    accepted = nodes[2].submit("j4", items)
+    time.sleep(0.4)
+    nodes[2].process.kill()
+    nodes[2].process.wait()
+    answer = all_results(nodes[0], "j4", 30)
+    nodes[2].start()
+    again = wait_for(nodes[2].is_ready)
+    return (accepted == 202 and answer is not None and again and
+            sorted(r["id"] for r in answer["results"]) == sorted(items) and
+            all(r["text"] == whole_text(r["id"]) for r in answer["results"])
+            and all_results(nodes[2], "j4", 30) == answer)
+
+
+def check_planned_stop(site, nodes):
+    import threading
+    answers = []
+    threads = [threading.Thread(
+        target=lambda n=n: answers.append(nodes[1].ask(f"p{n}")))
+        for n in range(5)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.1)
+    nodes[1].process.send_signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    code = nodes[1].process.wait(timeout=PATIENCE_S)
+    return (code == 0 and len(answers) == 5 and
+            all(a[0] == 200 and len(a[2]) > 100 for a in answers))
+
+
+CHECKS = [check_stream, check_unknown, check_job, check_input_and_end,
+          check_configuration, check_draining_server, check_unreadable_entry,
+          check_store_away, check_history_gone, check_killed_runner,
+          check_planned_stop]
+
+
+def main():
+    only = sys.argv[2:]
+    binary = str(pathlib.Path(sys.argv[1]) / "bin" / "cardamompick")
+    site = standins.Site()
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        seeds = [free_port()]
+        nodes = [Node(binary, f"n{n + 1}", "ab"[n % 2], site, seeds, folder)
+                 for n in range(3)]
+        failed = []
+        try:
+            if not wait_for(lambda: all(node.is_ready() for node in nodes)):
+                failed.append("start")
+            time.sleep(2.5)  # new keepers are cautious at first
+            chosen = [c for c in CHECKS if not only or c.__name__ in only]
+            for check in chosen if not failed else []:
+                is_ok = bool(check(site, nodes))
+                print(f"{check.__name__}: {'ok' if is_ok else 'FAILED'}",
+                      flush=True)
+                if not is_ok:
+                    failed.append(check.__name__)
+        finally:
+            for node in nodes:
+                node.process.kill()
+                node.process.wait()
+            if failed:
+                for node in nodes:
+                    print(f"--- {node.path.stem}")
+                    log = node.path.with_suffix(".log").read_text(errors="replace")
+                    print("\n".join(log.splitlines()[-60:]))
+        print(f"{len(chosen) - len(failed)} passed, {len(failed)} failed")
+    sys.exit(1 if failed else 0)
+
+
+main()
