Run batch where slots are free, and what is due first before the rest

Change: batch choices look at all regions and count batch slots; batch asks carry the time left, keepers serve the earliest due first, what is late last, and take slots back from what is due last; all living runners take orphans.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -74,7 +74,8 @@
     enum contracts_class class_;
     int64_t wait_ms; /* how long it may be queued; 0: answer at once */
     /* While it has waited less, a grant is still in time; such asks go before
-     * those that are late already.  0: always in time. */
+     * those that are late already, and batch asks by what is left.  0: always
+     * in time; batch: late, or never due. */
     int64_t prefer_ms;
     int slots;       /* batch; online is 1 */
     int64_t term_ms; /* batch */
--- a/packages/contracts/keeper_batch.c
+++ b/packages/contracts/keeper_batch.c
@@ -36,6 +36,14 @@
     return MAX(room, 0);
 }
 
+/* When the work that an ask is for is due.  What is late already goes behind
+ * all that can still be in time. */
+static int64_t
+due_of(const struct contracts_ask *ask, int64_t since_ms)
+{
+    return ask->prefer_ms > 0 ? since_ms + ask->prefer_ms : INT64_MAX;
+}
+
 static struct contract *
 find_renewed(const struct contracts_keeper *keeper,
              const struct contracts_ask *ask)
@@ -99,11 +107,34 @@
         contract = keeper_add(keeper, keeper_next_id(keeper), ask->holder,
                               CONTRACTS_BATCH, MIN(room, ask->slots), now_ms);
         contract->expires_ms = now_ms + ask->term_ms;
+        contract->due_ms = due_of(ask, now_ms);
     }
     keeper_answer(keeper, ask, CONTRACTS_GRANTED, contract, now_ms, out);
     return true;
 }
 
+/* Earliest due first, equal ones in their order. */
+static void
+push_by_due(GQueue *queue, struct queue_entry *entry)
+{
+    int64_t due_ms = due_of(&entry->ask, entry->since_ms);
+    GList *at = queue->tail;
+
+    while (at != NULL) {
+        const struct queue_entry *other = at->data;
+        if (due_of(&other->ask, other->since_ms) <= due_ms) {
+            break;
+        }
+        at = at->prev;
+    }
+    if (at == NULL) {
+        g_queue_push_head(queue, entry);
+    }
+    else {
+        g_queue_insert_after(queue, at, entry);
+    }
+}
+
 /* Answers a batch ask now or, within its wait_ms, when slots become free. */
 void
 keeper_ask_batch(struct contracts_keeper *keeper,
@@ -125,10 +156,10 @@
     entry->ask = own;
     entry->since_ms = now_ms;
     entry->until_ms = now_ms + ask->wait_ms;
-    g_queue_push_tail(&keeper->batch_asks, entry);
+    push_by_due(&keeper->batch_asks, entry);
 }
 
-/* Grants waiting batch asks in their order and answers those whose wait is
+/* Grants waiting batch asks, those due first before others, and answers those whose wait is
  * over. */
 void
 keeper_serve_batch(struct contracts_keeper *keeper, int64_t now_ms,
@@ -152,9 +183,26 @@
     }
 }
 
-/* The batch contract with the most slots not yet asked back. */
+/* Whether slots are asked back from `a` rather than from `b`: from the one
+ * with more of them, then from the one due later. */
+static bool
+yields_before(const struct contract *a, const struct contract *b)
+{
+    int slots_a = a->slots - a->yielding;
+    int slots_b = b->slots - b->yielding;
+
+    if (slots_a != slots_b) {
+        return slots_a > slots_b;
+    }
+    if (a->due_ms != b->due_ms) {
+        return a->due_ms > b->due_ms;
+    }
+    return a->id < b->id;
+}
+
+/* The batch contract to ask for slots next. */
 static struct contract *
-largest_batch(const struct contracts_keeper *keeper)
+next_to_yield(const struct contracts_keeper *keeper)
 {
     struct contract *best = NULL;
     struct contract *contract;
@@ -162,16 +210,9 @@
 
     g_hash_table_iter_init(&iter, keeper->contracts);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&contract)) {
-        if (contract->kind != CONTRACTS_BATCH ||
-            contract->slots == contract->yielding) {
-            continue;
-        }
-        if (best == NULL ||
-            contract->slots - contract->yielding >
-                best->slots - best->yielding ||
-            (contract->slots - contract->yielding ==
-                 best->slots - best->yielding &&
-             contract->id < best->id)) {
+        if (contract->kind == CONTRACTS_BATCH &&
+            contract->slots > contract->yielding &&
+            (best == NULL || yields_before(contract, best))) {
             best = contract;
         }
     }
@@ -218,7 +259,7 @@
     int owed = slots_owed(keeper) - keeper->yielding;
 
     while (owed > 0) {
-        struct contract *contract = largest_batch(keeper);
+        struct contract *contract = next_to_yield(keeper);
         if (contract == NULL) {
             break;
         }
--- a/packages/contracts/test_keeper.cc
+++ b/packages/contracts/test_keeper.cc
@@ -439,3 +439,43 @@
     table.tick(1650 + 600 + 2000);
     EXPECT_EQ(table.load().window, 8) << "an old report counts no more";
 }
+
+TEST(Keeper, BatchAsksAreServedByWhenTheyAreDueAndYieldInReverse)
+{
+    struct contracts_keeper_desc desc = make_desc(2);
+    desc.batch_fills = true;
+    Table table(desc);
+    auto batch = [](uint64_t id, int64_t left_ms) {
+        struct contracts_ask ask = make_ask(id, CONTRACTS_BATCH, 5000, 1);
+        ask.prefer_ms = left_ms;
+        return ask;
+    };
+
+    auto first = table.ask(batch(1, 9000), 10);
+    auto second = table.ask(batch(2, 3000), 10);
+    table.ask(batch(3, 0), 20); /* late already */
+    table.ask(batch(4, 8000), 20);
+    table.ask(batch(5, 4000), 20);
+    /* Online work takes the slot of what is due last. */
+    auto said = table.ask(make_ask(6, CONTRACTS_ONLINE_SHORT, 100, 0), 30);
+    ASSERT_EQ(said.size(), 1u);
+    EXPECT_EQ(said[0].kind, CONTRACTS_YIELD);
+    EXPECT_EQ(said[0].contract, first[0].contract);
+    said = table.shrink(first[0].contract, 0, 40);
+    ASSERT_EQ(said.size(), 1u);
+    uint64_t online = said[0].contract;
+    /* Free slots go to what is due first. */
+    std::vector<uint64_t> order;
+    for (uint64_t contract : {online, second[0].contract}) {
+        for (const auto &event : table.shrink(contract, 0, 50)) {
+            order.push_back(event.ask_id);
+            if (order.size() == 2) {
+                for (const auto &next :
+                     table.shrink(event.contract, 0, 60)) {
+                    order.push_back(next.ask_id);
+                }
+            }
+        }
+    }
+    EXPECT_EQ(order, (std::vector<uint64_t>{5, 4, 3}));
+}
--- a/packages/jobs/ask.c
+++ b/packages/jobs/ask.c
@@ -5,7 +5,7 @@
 /* Contracts for items: one slot each, asked for when an item waits and given
  * back when it ends or its keeper wants the slot for online work. */
 enum {
-    MAX_ASKS = 8,        /* under way at a time, a node */
+    MAX_ASKS = 24,       /* under way at a time, a node */
     MAX_RUNNING = 256,   /* items, a node */
     DIRECT_CHOICES = 2,  /* asked without waiting, before queueing */
     QUEUE_MS = 1000,     /* that a keeper may queue an ask */
@@ -124,6 +124,7 @@
     work->n_asked++;
     ask = control_ask_new(work->server_name, CONTRACTS_BATCH);
     ask->wait_ms = wait_ms;
+    ask->prefer_ms = MAX(work->run->due_ms - base_wall_ms(), 0);
     ask->slots = 1;
     ask->term_ms = TERM_MS;
     ask->yield = jobs_yield;
@@ -176,10 +177,35 @@
     ask_next(work);
 }
 
-/* The waiting item of the job that is due first. */
+/* When the job is due; one that is late already goes behind the others. */
+static int64_t
+rank_of(const struct jobs_run *run, int64_t wall_ms)
+{
+    return run->due_ms > wall_ms ? run->due_ms : INT64_MAX;
+}
+
+/* The job's waiting item that has got furthest. */
+static struct jobs_work *
+find_item(struct jobs_run *run, int64_t now_ms)
+{
+    struct jobs_work *best = NULL;
+
+    for (guint i = 0; i < run->job->items->len; i++) {
+        struct jobs_work *work = &run->works[i];
+        if (work->state == JOBS_WORK_WAITING &&
+            work->not_before_ms <= now_ms &&
+            (best == NULL || work->events.count > best->events.count)) {
+            best = work;
+        }
+    }
+    return best;
+}
+
+/* The next item to ask for: of the job that is due first. */
 static struct jobs_work *
 find_next(struct jobs *jobs, int64_t now_ms)
 {
+    int64_t wall_ms = base_wall_ms();
     struct jobs_work *best = NULL;
     GHashTableIter iter;
     gpointer value;
@@ -187,19 +213,15 @@
     g_hash_table_iter_init(&iter, jobs->runs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct jobs_run *run = value;
+        struct jobs_work *work;
         if (run->is_over || run->is_releasing || run->n_open == 0 ||
-            (best != NULL && run->due_ms >= best->run->due_ms) ||
+            (best != NULL &&
+             rank_of(run, wall_ms) >= rank_of(best->run, wall_ms)) ||
             jobs_route(jobs, run->head.host, run->head.path) == NULL) {
             continue;
         }
-        for (guint i = 0; i < run->job->items->len; i++) {
-            struct jobs_work *work = &run->works[i];
-            if (work->state == JOBS_WORK_WAITING &&
-                work->not_before_ms <= now_ms) {
-                best = work;
-                break;
-            }
-        }
+        work = find_item(run, now_ms);
+        best = work != NULL ? work : best;
     }
     return best;
 }
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -5,11 +5,10 @@
 enum {
     KEEP_PART = 3,           /* the lease is renewed in this part of its time */
     LEASE_RETRY_MS = 300,
-    SCAN_MS = 2000,          /* between looks at all heads, of a scanner */
-    IDLE_SCAN_MS = 6000,     /* of any other node */
+    SCAN_MS = 2000,          /* between looks at all heads, with jobs here */
+    IDLE_SCAN_MS = 3000,     /* and without: the lease of one that is gone */
     SCAN_RETRY_MS = 500,
     SOON_MS = 200,           /* after a sign that a look is worth it */
-    SCANNERS = 3,            /* nodes that look also without jobs */
     CLAIMS_AT_ONCE = 16,
 };
 
@@ -286,53 +285,18 @@
 
 /* ---- looking ---- */
 
-/* A few nodes, by hash, look for jobs without a runner often, and take them;
- * the name is a node's. */
-static bool
-is_scanner(const struct jobs *jobs, const char *name)
-{
-    uint64_t own = base_hash_text(name, 0);
-    int n_before = 0;
-
-    for (int i = 0; jobs->view != NULL && i < jobs->view->n_nodes; i++) {
-        const struct members_node *node = &jobs->view->nodes[i];
-        if (members_takes_work(node) && node->jobs_address[0] != '\0' &&
-            base_hash_text(node->name, 0) > own) {
-            n_before++;
-        }
-    }
-    return n_before < SCANNERS;
-}
-
-static bool
-is_scanning_runner(const struct jobs *jobs, const char *runner)
-{
-    char *name = g_strndup(runner, strcspn(runner, "#"));
-    bool is_one = is_scanner(jobs, name);
-
-    g_free(name);
-    return is_one;
-}
-
-/* Whether this node takes a job: of the living scanners, or of all runners
- * where no scanner lives, the one that the job's hash picks. */
+/* Which of the living runners takes a job: the same one for all who look. */
 static bool
 is_next_runner(const struct jobs *jobs, GHashTable *living, const char *id)
 {
     uint64_t seed = base_hash_text(id, 0);
     uint64_t own = base_hash_text(jobs->runner, seed);
-    bool am_scanner = is_scanner(jobs, jobs->node);
     GHashTableIter iter;
     gpointer key;
 
     g_hash_table_iter_init(&iter, living);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        bool is_other_scanner = is_scanning_runner(jobs, key);
-        if (is_other_scanner && !am_scanner) {
-            return false;
-        }
-        if (is_other_scanner == am_scanner &&
-            base_hash_text(key, seed) > own) {
+        if (base_hash_text(key, seed) > own) {
             return false;
         }
     }
@@ -432,16 +396,14 @@
 void
 jobs_scan_tick(struct jobs *jobs, int64_t now_ms)
 {
-    bool is_often;
+    bool has_jobs = g_hash_table_size(jobs->runs) > 0;
 
     if (jobs->is_scanning || now_ms < jobs->scan_ms ||
         !jobs_holds_lease(jobs) || g_atomic_int_get(&jobs->is_draining)) {
         return;
     }
     /* A node that runs jobs hears here that a client ended one. */
-    is_often = jobs->view == NULL || g_hash_table_size(jobs->runs) > 0 ||
-               is_scanner(jobs, jobs->node);
-    jobs->scan_ms = now_ms + (is_often ? SCAN_MS : IDLE_SCAN_MS);
+    jobs->scan_ms = now_ms + (has_jobs ? SCAN_MS : IDLE_SCAN_MS);
     jobs->is_scanning = true;
     jobs_kv(jobs, platform_kv_new(PLATFORM_LIST, JOBS_ACTIVE_PREFIX),
             (struct jobs_next){on_scanned, NULL});
--- a/packages/place/contracts_policy.c
+++ b/packages/place/contracts_policy.c
@@ -18,6 +18,8 @@
 static const double NO_SLOT_COST = 0.25;
 /* In another region only servers count as full from this usage on. */
 static const double FULL = 1.0;
+/* Another zone of the region: its bytes are paid for. */
+static const double OTHER_ZONE_COST = 0.06;
 /* Link time that counts as much as a whole window of load, in ms. */
 static const double LINK_SCALE_MS = 200;
 
@@ -30,6 +32,21 @@
     int region; /* of the asking node */
 };
 
+static bool
+is_batch(const struct view *view)
+{
+    return view->request->class_ == CONTRACTS_BATCH;
+}
+
+/* Online work is granted slots that batch holds, batch work is not. */
+static double
+batch_usage(const struct view *view, int server)
+{
+    return is_batch(view) ? (double)view->policy->servers[server].load.batch /
+                                policy_window(view->policy, server)
+                          : 0;
+}
+
 /* The same, where old news fades into what is usual in the deployment. */
 static double
 usage(const struct view *view, int server)
@@ -40,7 +57,8 @@
     double trust = seen_ms == 0 ? 0 : 1 - CLAMP(age_ms / LOAD_AGE_MS, 0, 1);
     double usual = policy->deployments[view->request->deployment].usage;
 
-    return policy_known_usage(policy, server) * trust + usual * (1 - trust);
+    return policy_known_usage(policy, server) * trust + usual * (1 - trust) +
+           batch_usage(view, server) * trust;
 }
 
 static bool
@@ -84,7 +102,8 @@
 
 /* Fills out with the servers that may be chosen; returns how many.  First
  * the healthy ones of the own region, then all healthy ones, then any: a
- * request is better served slowly or from afar than not at all. */
+ * request is better served slowly or from afar than not at all.  Batch work
+ * goes wherever slots are free: the way is short beside its run. */
 static int
 candidates(const struct view *view, int *out)
 {
@@ -97,7 +116,8 @@
             int server = view->deployment->servers[i];
             if (place_was_tried(view->request, server) ||
                 (tier < ANY && !is_healthy(view, server)) ||
-                (tier == NEAR && !is_near(view, server))) {
+                (tier == NEAR && !is_batch(view) &&
+                 !is_near(view, server))) {
                 continue;
             }
             is_full = is_full && usage(view, server) > FULL;
@@ -151,6 +171,9 @@
                                          world->servers[server].zone);
 
     return usage(view, server) + link_ms / LINK_SCALE_MS +
+           (view->request->zone != world->servers[server].zone
+                ? OTHER_ZONE_COST
+                : 0) +
            (has_free_slot(view, server) ? 0 : NO_SLOT_COST);
 }
 
@@ -206,7 +229,12 @@
         request->prefix_key != 0 && request->class_ != CONTRACTS_ONLINE_LONG
             ? choose_by_key(&view, servers, n)
             : choose_by_load(&view, servers, n);
-    policy->servers[chosen].online++;
+    if (is_batch(&view)) {
+        policy->servers[chosen].load.batch++;
+    }
+    else {
+        policy->servers[chosen].online++;
+    }
     return chosen;
 }
 
