Record what has arrived of running items every three seconds

Change: jobs/run.c writes the partial texts beside the results when 60 events came since the last record, under the head's revision; the next runner goes on from there.

--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -88,6 +88,8 @@
     bool is_over;      /* ended, lost or complete: nothing runs any more */
     int n_references;  /* calls under way */
     int64_t commit_ms; /* not committed before this */
+    int64_t checkpoint_ms;
+    int64_t checkpoint_events; /* that the last one held */
 };
 
 struct jobs {
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -6,6 +6,10 @@
     /* Between commits of a job: several items in one write. */
     COMMIT_MS = 300,
     RETRY_MS = 300, /* after a commit that had no answer */
+    /* Between records of what has arrived of running items: what a killed
+     * node loses, against bytes to the key-value service. */
+    CHECKPOINT_MS = 3000,
+    CHECKPOINT_EVENTS = 60, /* that have come since, of all items */
 };
 
 /* ---- start and end ---- */
@@ -70,6 +74,7 @@
     run->writing = g_array_new(FALSE, TRUE, sizeof(int));
     run->max_attempts = 1;
     run->give_up_ms = INT64_MAX;
+    run->checkpoint_ms = base_clock_ms() + CHECKPOINT_MS;
     for (guint i = 0; i < job->items->len; i++) {
         init_work(run, (int)i);
     }
@@ -120,7 +125,7 @@
         const struct jobs_work *work = &run->works[i];
         const struct jobs_item *item = run->job->items->pdata[i];
         GString *text;
-        if (work->state != JOBS_WORK_WAITING ||
+        if (work->state >= JOBS_WORK_DONE ||
             !jobs_events_may_resume(&work->events)) {
             continue;
         }
@@ -406,6 +411,74 @@
     return false;
 }
 
+/* ---- checkpoints ---- */
+
+static int64_t
+count_events(const struct jobs_run *run)
+{
+    int64_t n_events = 0;
+
+    for (guint i = 0; i < run->job->items->len; i++) {
+        if (run->works[i].state < JOBS_WORK_DONE) {
+            n_events += run->works[i].events.count;
+        }
+    }
+    return n_events;
+}
+
+static void
+on_checkpoint(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    struct jobs_run *run = context;
+
+    (void)jobs;
+    (void)kv; /* a hint only: the next one follows, or the job's commit */
+    run->n_references--;
+}
+
+/* Records what has arrived of the items, so that a next runner goes on from
+ * there.  The head's revision guards it: a runner that lost the job writes
+ * nothing. */
+static void
+write_checkpoint(struct jobs_run *run)
+{
+    GBytes *partials = encode_partials(run);
+    struct platform_kv *kv;
+    char *head_key;
+    char *key;
+
+    if (partials == NULL) {
+        return;
+    }
+    kv = platform_kv_new(PLATFORM_TXN, run->head.id);
+    head_key = jobs_head_key(run->head.id);
+    key = jobs_partial_key(run->head.id);
+    platform_kv_expect(kv, head_key, run->revision);
+    platform_kv_write(kv, key, partials, 0);
+    g_free(head_key);
+    g_free(key);
+    run->n_references++;
+    jobs_kv(run->jobs, kv, (struct jobs_next){on_checkpoint, run});
+}
+
+static bool
+is_checkpoint_due(struct jobs_run *run, int64_t now_ms)
+{
+    int64_t n_events;
+
+    if (now_ms < run->checkpoint_ms) {
+        return false;
+    }
+    run->checkpoint_ms = now_ms + CHECKPOINT_MS;
+    n_events = count_events(run);
+    if (n_events < run->checkpoint_events + CHECKPOINT_EVENTS) {
+        run->checkpoint_events = MIN(run->checkpoint_events, n_events);
+        return false;
+    }
+    run->checkpoint_events = n_events;
+    return true;
+}
+
 /* Items past the time that they are kept for are given up. */
 static void
 give_up_old(struct jobs_run *run)
@@ -445,4 +518,7 @@
     else if (has_news(run) || run->is_releasing) {
         begin_commit(run);
     }
+    else if (is_checkpoint_due(run, now_ms)) {
+        write_checkpoint(run);
+    }
 }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -678,6 +678,49 @@
                                      std::string("b=") + WHOLE}));
 }
 
+TEST(Jobs, AKilledNodesItemsGoOnFromTheLastCheckpoint)
+{
+    std::atomic<bool> is_stuck{true};
+    std::string resumed;
+    Site site([&](int fd, const std::string &request) {
+        if (is_stuck) {
+            std::string text = head(request);
+            for (int i = 1; i <= 80; i++) {
+                text += chunk(event(i));
+            }
+            test_write(fd, text);
+            test_wait_for_close(fd);
+            return;
+        }
+        resumed = test_header(request, "last-id");
+        test_write(fd, head(request) + chunk(event(81)) + "0\r\n\r\n");
+    });
+    auto one = std::make_unique<Node>(site, "n1");
+    Node two(site, "n2");
+
+    ASSERT_EQ(one->submit("j", "a"), JOBS_OK);
+    for (int i = 0; i < 1000; i++) {
+        std::lock_guard<std::mutex> hold(site.store.lock);
+        if (site.store.records.count(JOBS_RESULTS_PREFIX "j/partial") > 0) {
+            break;
+        }
+        g_usleep(10000);
+    }
+    one->stop();
+    {
+        std::lock_guard<std::mutex> hold(site.store.lock);
+        for (auto &[key, at] : std::map<std::string, stored>(
+                 site.store.records)) {
+            if (key.rfind(JOBS_NODE_PREFIX "n1#", 0) == 0) {
+                lapse(at.lease);
+            }
+        }
+    }
+    is_stuck = false;
+    EXPECT_EQ(two.wait_for("j", 1).size(), 1u);
+    EXPECT_EQ(resumed, "80");
+}
+
 TEST(Jobs, ANodeThatLostItsJobListsNothingAnyMore)
 {
     std::atomic<bool> is_held{true};
