Do not take a reset stream for a whole one; bound and redirect the log

The library reports any end of a chunked answer as completed, and backends looked for the peer's close only, not for a reset.

Change: an error when peeking counts as the end, too; the new test failed first.

--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -213,12 +214,15 @@
     return 0;
 }
 
+/* Whether the connection has ended, by a close or by a reset. */
 static bool
 is_closed_by_peer(struct lws *wsi)
 {
     char byte;
-    return recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
-           0;
+    ssize_t n =
+        recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 static int
--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -84,6 +84,7 @@
 };
 
 void base_log_setup(const char *node_name, enum base_log_level lowest);
+void base_log_output(int fd);
 void base_log(enum base_log_level level, const char *event, const char *format,
               ...) G_GNUC_PRINTF(3, 4);
 void base_log_error(const char *event, const struct base_error *err,
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -1,17 +1,36 @@
 #include "base/base.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
-enum { LINE_SIZE = 1024 };
+enum {
+    LINE_SIZE = 1024,
+    /* Lines a second below the level of notices, and how many at once; what
+     * is beyond is counted.  A node serves some tens of requests a second. */
+    LINES_PER_S = 500,
+    LINES_AT_ONCE = 1000,
+    MS_PER_S = 1000,
+};
 
-/* The process has one standard error, hence one log setting. */
+/* The process has one standard output, hence one log setting. */
 static struct {
+    int fd;
     char node[64];
     enum base_log_level lowest;
-} log_settings = {"-", BASE_LOG_INFO};
+    pthread_mutex_t lock;
+    int64_t room; /* in thousandths of a line */
+    int64_t room_ms;
+    int64_t n_left_out; /* since the last line that was written */
+} log_settings = {
+    .fd = STDOUT_FILENO,
+    .node = "-",
+    .lowest = BASE_LOG_INFO,
+    .lock = PTHREAD_MUTEX_INITIALIZER,
+    .room = (int64_t)LINES_AT_ONCE * MS_PER_S,
+};
 
 /* Sets the node name shown on each line and the lowest level written.  Call
  * it before the first task starts. */
@@ -22,6 +41,14 @@
     log_settings.lowest = lowest;
 }
 
+/* Sends lines to another descriptor than standard output, for programs whose
+ * output is data.  Call it before the first task starts. */
+void
+base_log_output(int fd)
+{
+    log_settings.fd = fd;
+}
+
 /* Line breaks in a value would end the event early. */
 static void
 flatten_line(char *line)
@@ -33,35 +60,80 @@
     }
 }
 
-static void
-write_line(enum base_log_level level, const char *event, const char *pairs)
+/* Whether a line may be written: within the rate, and only where that can't
+ * block.  *n_left_out gets how many were left out before it. */
+static bool
+take_room(enum base_log_level level, int64_t *n_left_out)
+{
+    struct pollfd out = {.fd = log_settings.fd, .events = POLLOUT};
+    int64_t now_ms = base_clock_ms();
+    bool is_taken;
+
+    pthread_mutex_lock(&log_settings.lock);
+    log_settings.room =
+        MIN(log_settings.room + (now_ms - log_settings.room_ms) * LINES_PER_S,
+            (int64_t)LINES_AT_ONCE * MS_PER_S);
+    log_settings.room_ms = now_ms;
+    is_taken = (level <= BASE_LOG_NOTICE || log_settings.room >= MS_PER_S) &&
+               poll(&out, 1, 0) > 0;
+    if (is_taken) {
+        log_settings.room = MAX(log_settings.room - MS_PER_S, 0);
+        *n_left_out = log_settings.n_left_out;
+        log_settings.n_left_out = 0;
+    }
+    else {
+        log_settings.n_left_out++;
+    }
+    pthread_mutex_unlock(&log_settings.lock);
+    return is_taken;
+}
+
+static int
+format_line(char line[LINE_SIZE], enum base_log_level level, const char *event,
+            const char *pairs, int64_t n_left_out)
 {
-    char line[LINE_SIZE];
     int64_t now_ms = base_wall_ms();
-    time_t seconds = (time_t)(now_ms / 1000);
+    time_t seconds = (time_t)(now_ms / MS_PER_S);
     struct tm utc;
     char stamp[32];
-    int length;
+    char left_out[48] = "";
 
+    if (n_left_out > 0) {
+        g_snprintf(left_out, sizeof(left_out),
+                   " lines_left_out=%" G_GINT64_FORMAT, n_left_out);
+    }
     gmtime_r(&seconds, &utc);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-    length = snprintf(line, sizeof(line) - 1,
-                      "<%d>%s.%03dZ cardamompick[%d]: node=%s event=%s%s%s",
-                      (int)level, stamp, (int)(now_ms % 1000), (int)getpid(),
-                      log_settings.node, event, *pairs ? " " : "", pairs);
-    if (length > (int)sizeof(line) - 2) {
-        length = (int)sizeof(line) - 2;
+    return snprintf(line, LINE_SIZE - 1,
+                    "<%d>%s.%03dZ cardamompick[%d]: node=%s event=%s%s%s%s",
+                    (int)level, stamp, (int)(now_ms % MS_PER_S), (int)getpid(),
+                    log_settings.node, event, left_out, *pairs ? " " : "",
+                    pairs);
+}
+
+static void
+write_line(enum base_log_level level, const char *event, const char *pairs)
+{
+    char line[LINE_SIZE];
+    int64_t n_left_out = 0;
+    int length;
+
+    if (!take_room(level, &n_left_out)) {
+        return;
     }
+    length = format_line(line, level, event, pairs, n_left_out);
+    length = MIN(length, LINE_SIZE - 2);
     line[length] = '\0';
     flatten_line(line);
     line[length] = '\n';
     /* One write per line keeps lines of different tasks whole. */
-    if (write(STDERR_FILENO, line, (size_t)length + 1) < 0) {
-        return;
+    if (write(log_settings.fd, line, (size_t)length + 1) < 0) {
+        return; /* nobody reads them; the work goes on */
     }
 }
 
-/* Writes one syslog-style line of key=value pairs for one event. */
+/* Writes one syslog-style line of key=value pairs for one event.  Never
+ * blocks; lines that are left out are counted on the next one. */
 void
 base_log(enum base_log_level level, const char *event, const char *format, ...)
 {
--- a/packages/base/test_base.cc
+++ b/packages/base/test_base.cc
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -162,3 +166,40 @@
     base_task_finish(&server);
     base_task_finish(&caller);
 }
+
+TEST(Log, LinesBeyondTheRateAreCountedAndNoticesAreNot)
+{
+    char name[] = "/tmp/cardamompick-log-XXXXXX";
+    int file = mkstemp(name);
+    int saved = dup(STDOUT_FILENO);
+    std::string text;
+    char buffer[65536];
+
+    ASSERT_GE(file, 0);
+    fflush(stdout);
+    dup2(file, STDOUT_FILENO);
+    for (int i = 0; i < 5000; i++) {
+        base_log(BASE_LOG_INFO, "test.many", "n=%d", i);
+    }
+    base_log(BASE_LOG_NOTICE, "test.notice", "%s", "");
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    lseek(file, 0, SEEK_SET);
+    for (ssize_t n; (n = read(file, buffer, sizeof(buffer))) > 0;) {
+        text.append(buffer, (size_t)n);
+    }
+    close(file);
+    unlink(name);
+    EXPECT_NE(text.find("event=test.many n=0\n"), std::string::npos);
+    size_t notice = text.find("event=test.notice");
+    ASSERT_NE(notice, std::string::npos);
+    /* Each line is either written or counted. */
+    int64_t n_lines = std::count(text.begin(), text.end(), '\n');
+    int64_t n_left_out = 0;
+    for (size_t at = 0;
+         (at = text.find("lines_left_out=", at)) != std::string::npos; at++) {
+        n_left_out += atol(text.c_str() + at + 15);
+    }
+    EXPECT_EQ(n_lines + n_left_out, 5001);
+    EXPECT_GT(n_left_out, 0);
+}
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -1,6 +1,7 @@
 #include "ctl/ctl.h"
 
 #include <string.h>
+#include <unistd.h>
 
 struct ctl_command {
     const char *name;
@@ -48,6 +49,7 @@
         return CTL_OK;
     }
     base_log_setup("ctl", BASE_LOG_WARNING);
+    base_log_output(STDERR_FILENO);
     for (size_t i = 0; i < G_N_ELEMENTS(COMMANDS); i++) {
         if (strcmp(argv[1], COMMANDS[i].name) == 0) {
             return COMMANDS[i].run(argc - 1, argv + 1);
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -270,6 +270,21 @@
     EXPECT_EQ(n_runs, 1);
 }
 
+TEST_F(Ingress, AStreamThatIsResetDoesNotLookComplete)
+{
+    struct test_server engine([](int fd, const std::string &request) {
+        struct linger none = {1, 0};
+        test_write(fd, stream_head(request) + chunk(event(1)));
+        g_usleep(100000);
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    });
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "b"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_FALSE(answer.is_whole);
+    EXPECT_EQ(answer.body, event(1));
+}
+
 TEST_F(Ingress, AResumableStreamGoesOnAfterItsLastWholeEvent)
 {
     std::atomic<int> n_runs{0};
