--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points for people; CMakeLists.txt holds the build itself.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-C_SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.c' 'standins/*.c' | grep -v pb-c)
+C_SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' 'standins/*.c' | grep -v pb-c)
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 
 .PHONY: all packages build format format-check lint test fuzz check check-sanitize demo install
--- a/packages/contracts/keeper_batch.c
+++ b/packages/contracts/keeper_batch.c
@@ -159,8 +159,8 @@
     push_by_due(&keeper->batch_asks, entry);
 }
 
-/* Grants waiting batch asks, those due first before others, and answers those whose wait is
- * over. */
+/* Grants waiting batch asks, those due first before others, and answers those
+ * whose wait is over. */
 void
 keeper_serve_batch(struct contracts_keeper *keeper, int64_t now_ms,
                    GArray *out)
--- a/packages/contracts/test_keeper.cc
+++ b/packages/contracts/test_keeper.cc
@@ -470,8 +470,7 @@
         for (const auto &event : table.shrink(contract, 0, 50)) {
             order.push_back(event.ask_id);
             if (order.size() == 2) {
-                for (const auto &next :
-                     table.shrink(event.contract, 0, 60)) {
+                for (const auto &next : table.shrink(event.contract, 0, 60)) {
                     order.push_back(next.ask_id);
                 }
             }
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -34,8 +34,8 @@
     enum contracts_class class_;
     int64_t wait_ms; /* how long the keeper may queue it; 0: answer at once */
     int64_t prefer_ms; /* a grant is in time until then; 0: always */
-    int slots;       /* batch only; online is always 1 */
-    int64_t term_ms; /* batch only */
+    int slots;         /* batch only; online is always 1 */
+    int64_t term_ms;   /* batch only */
     struct base_span_context trace; /* of the request; zero: none */
     /* Batch: the keeper wants slots back.  Runs on the asking task, any
      * number of times while the contract is held. */
@@ -111,9 +111,9 @@
     const struct world_source *origin;
     const struct world_place *places; /* with a source: its zones; copied */
     int n_places;
-    int n_watchers; /* of the key-value service in a zone; 0: 2 */
+    int n_watchers;  /* of the key-value service in a zone; 0: 2 */
     bool may_retire; /* with a source: the operator may have it emptied */
-    uint64_t seed; /* of random choices; 0: from the system */
+    uint64_t seed;   /* of random choices; 0: from the system */
 };
 
 struct control *control_start(const struct control_desc *desc,
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -177,11 +177,11 @@
 /* ---- retire.c ---- */
 
 struct control_retire {
-    uint64_t watch;     /* 0: none */
-    bool is_asked;      /* the operator wants this machine emptied */
-    bool is_told;       /* and was told that it is */
-    bool is_telling;    /* the answer is on its way */
-    int64_t tell_ms;    /* not told before this */
+    uint64_t watch;  /* 0: none */
+    bool is_asked;   /* the operator wants this machine emptied */
+    bool is_told;    /* and was told that it is */
+    bool is_telling; /* the answer is on its way */
+    int64_t tell_ms; /* not told before this */
 };
 
 /* ---- the whole ---- */
@@ -209,10 +209,10 @@
     /* state */
     struct members *members;
     struct members_view *view;
-    struct world *world; /* NULL: no configuration yet */
+    struct world *world;     /* NULL: no configuration yet */
     struct world_site *site; /* with a source: what world is made of */
-    int *keepers;        /* by server index; KEEPER_UNKNOWN: not looked up */
-    bool is_changed;     /* the listener has not heard yet */
+    int *keepers;    /* by server index; KEEPER_UNKNOWN: not looked up */
+    bool is_changed; /* the listener has not heard yet */
     bool is_watcher;
     int64_t now_ms;
     int64_t last_tick_ms;
--- a/packages/control/gossip.c
+++ b/packages/control/gossip.c
@@ -66,8 +66,8 @@
         if (back != NULL && back->request != 0 && i == 0 &&
             (action->message->kind == MEMBERS_ACK ||
              action->message->kind == MEMBERS_STATE)) {
-            struct control_bytes bytes =
-                control_pack_gossip(action->message, control_leaving_digest(control));
+            struct control_bytes bytes = control_pack_gossip(
+                action->message, control_leaving_digest(control));
             wire_reply(&control->endpoint, back, CONTROL_GOSSIP, bytes.data,
                        bytes.size);
             g_free(bytes.data);
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -69,8 +69,8 @@
 rebuild_world(struct control *control)
 {
     GHashTable *entries = control->registry.entries;
-    const struct world_registration **servers =
-        g_new0(const struct world_registration *, g_hash_table_size(entries) + 1);
+    const struct world_registration **servers = g_new0(
+        const struct world_registration *, g_hash_table_size(entries) + 1);
     GHashTableIter iter;
     gpointer value;
     int n_servers = 0;
@@ -86,10 +86,9 @@
             servers[n_servers++] = &entry->server;
         }
     }
-    control_world_changed(control,
-                          world_of_site(control->site, control->places,
-                                        control->n_places, servers,
-                                        n_servers));
+    control_world_changed(
+        control, world_of_site(control->site, control->places,
+                               control->n_places, servers, n_servers));
     g_free(servers);
 }
 
@@ -135,8 +134,8 @@
         return;
     }
     text = g_bytes_get_data(entry->value, &size);
-    entry->is_server = control->source->decode_server(
-        entry->key, text, size, &entry->server, &err);
+    entry->is_server = control->source->decode_server(entry->key, text, size,
+                                                      &entry->server, &err);
     if (!entry->is_server) {
         base_log(BASE_LOG_WARNING, "server.unreadable",
                  "key=%s revision=%" G_GINT64_FORMAT " error=\"%s\"",
@@ -164,7 +163,7 @@
 static void
 log_change(const struct control_registered *entry, const char *from)
 {
-    const char *state = !entry->is_server            ? "gone"
+    const char *state = !entry->is_server           ? "gone"
                         : entry->server.is_draining ? "draining"
                                                     : "ready";
 
@@ -236,8 +235,7 @@
     struct control_registered *entry =
         g_hash_table_lookup(control->registry.entries, key);
 
-    if (entry == NULL || entry->value == NULL ||
-        revision <= entry->revision) {
+    if (entry == NULL || entry->value == NULL || revision <= entry->revision) {
         return false;
     }
     if (control->now_ms < control->registry.grace_ms) {
@@ -260,8 +258,8 @@
         const struct platform_entry *entry = listing->pdata[i];
         g_hash_table_add(listed, entry->key);
         revision = MAX(revision, entry->revision);
-        is_changed |= apply(control, entry->key, entry->revision, entry->value,
-                            "store");
+        is_changed |=
+            apply(control, entry->key, entry->revision, entry->value, "store");
     }
     for (GList *at = keys; at != NULL; at = at->next) {
         struct control_registered *entry =
@@ -370,9 +368,9 @@
     }
     for (size_t i = 0; i < news->n_servers; i++) {
         const Control__Registration *from = news->servers[i];
-        GBytes *value = from->is_gone ? NULL
-                                      : g_bytes_new(from->value.data,
-                                                    from->value.len);
+        GBytes *value = from->is_gone
+                            ? NULL
+                            : g_bytes_new(from->value.data, from->value.len);
         if (from->key[0] != '\0' && control_text_is_good(from->key, 201)) {
             is_changed |= apply(control, from->key, from->revision, value,
                                 news->from_address);
@@ -413,8 +411,7 @@
         out->revision = entry->revision;
         out->is_gone = entry->value == NULL;
         if (entry->value != NULL) {
-            out->value.data =
-                (uint8_t *)g_bytes_get_data(entry->value, &size);
+            out->value.data = (uint8_t *)g_bytes_get_data(entry->value, &size);
             out->value.len = size;
         }
         news->servers[news->n_servers++] = out;
--- a/packages/control/retire.c
+++ b/packages/control/retire.c
@@ -36,8 +36,8 @@
 
     kv->expect_revision = PLATFORM_ABSENT;
     kv->is_plain = true;
-    kv->value = g_bytes_new_static(source->retired_text,
-                                   strlen(source->retired_text));
+    kv->value =
+        g_bytes_new_static(source->retired_text, strlen(source->retired_text));
     g_free(key);
     control->retire.is_telling = true;
     control->n_platform_calls++;
@@ -60,12 +60,11 @@
 on_event(struct platform_event *event, void *task_state)
 {
     struct control *control = task_state;
-    char *key = g_strconcat(control->source->retire_prefix, control->node,
-                            NULL);
+    char *key =
+        g_strconcat(control->source->retire_prefix, control->node, NULL);
 
     control->now_ms = base_clock_ms();
-    for (guint i = 0; event->listing != NULL && i < event->listing->len;
-         i++) {
+    for (guint i = 0; event->listing != NULL && i < event->listing->len; i++) {
         const struct platform_entry *entry = event->listing->pdata[i];
         if (strcmp(entry->key, key) == 0) {
             note_asked(control);
@@ -89,8 +88,8 @@
         return;
     }
     if (is_on) {
-        char *key = g_strconcat(control->source->retire_prefix, control->node,
-                                NULL);
+        char *key =
+            g_strconcat(control->source->retire_prefix, control->node, NULL);
         retire->watch = platform_watch(control->platform, key, &control->task,
                                        NULL, on_event);
         g_free(key);
--- a/packages/control/spread.c
+++ b/packages/control/spread.c
@@ -337,8 +337,9 @@
         control->source == NULL || control->registry.is_listed ||
         (waited_ms >= KV_WAIT_MS && control->registry.digest != 0);
 
-    if (control->world == NULL || !has_servers || members_highest_revision(control->members) >
-                                      MAX(spread->number, spread->refused)) {
+    if (control->world == NULL || !has_servers ||
+        members_highest_revision(control->members) >
+            MAX(spread->number, spread->refused)) {
         return false;
     }
     if (has_read) {
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -435,9 +435,8 @@
              "id=%s server=%s try=%d asked=%d queued=%d local_share=%d "
              "waited_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
              " resumed_after=%s revision=%" G_GINT64_FORMAT,
-             exchange->request->id, attempt->server_name,
-             exchange->n_attempts, attempt->n_asked, attempt->is_queued,
-             attempt->is_local_share,
+             exchange->request->id, attempt->server_name, exchange->n_attempts,
+             attempt->n_asked, attempt->is_queued, attempt->is_local_share,
              (attempt->sent_us - exchange->request->started_us) / 1000,
              left_ms(attempt),
              exchange->resume_after != NULL ? exchange->resume_after : "-",
--- a/packages/front/edge.c
+++ b/packages/front/edge.c
@@ -5,16 +5,16 @@
 /* Where the requests of a site go: its calls, the node's own pages, and
  * everything else by host and path. */
 
-static const struct front_route READY = {"ready", "GET", "", false, 0,
-                                         &FRONT_READY};
-static const struct front_route METRICS = {"metrics", "GET", "", false, 0,
-                                           &FRONT_METRICS};
-static const struct front_route JOB_CALL = {"job", "*", "", true, 0,
-                                            &FRONT_JOB_CALL};
-static const struct front_route JOB_SUBMIT = {"submit", "POST", "", true, 0,
-                                              &FRONT_JOB_SUBMIT};
-static const struct front_route INGRESS = {"ingress", "*", "", true, 0,
-                                           &FRONT_INGRESS};
+static const struct front_route READY = {"ready", "GET", "",
+                                         false,   0,     &FRONT_READY};
+static const struct front_route METRICS = {"metrics", "GET", "",
+                                           false,     0,     &FRONT_METRICS};
+static const struct front_route JOB_CALL = {"job", "*", "",
+                                            true,  0,   &FRONT_JOB_CALL};
+static const struct front_route JOB_SUBMIT = {
+    "submit", "POST", "", true, 0, &FRONT_JOB_SUBMIT};
+static const struct front_route INGRESS = {"ingress", "*", "",
+                                           true,      0,   &FRONT_INGRESS};
 static const struct front_handler NONE = {0};
 static const struct front_route UNKNOWN = {"unknown", "*", "", true, 0, &NONE};
 
@@ -65,8 +65,8 @@
 {
     char id[FRONT_ID_SIZE];
 
-    switch (request->front->edge->find_call(request->method, request->path,
-                                            id, sizeof(id))) {
+    switch (request->front->edge->find_call(request->method, request->path, id,
+                                            sizeof(id))) {
     case FRONT_EDGE_READY:
         return &READY;
     case FRONT_EDGE_JOB_RESULTS:
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -106,8 +106,8 @@
     const char *host;              /* the request's */
     GPtrArray *headers;            /* name, value, ... */
     int max_runs;                  /* servers that may run it; 0: no limit */
-    int64_t target_ms;      /* for the first piece; 0: none */
-    int64_t first_piece_ms; /* silence before it; 0: until the deadline */
+    int64_t target_ms;             /* for the first piece; 0: none */
+    int64_t first_piece_ms;   /* silence before it; 0: until the deadline */
     const char *resume_after; /* the event to go on after; NULL: none */
     /* progress */
     struct attempt *lanes[EXCHANGE_LANES]; /* the attempts that go on */
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -236,8 +236,7 @@
 bool
 front_is_closing(const struct front *front)
 {
-    int64_t since_ms =
-        __atomic_load_n(&front->draining_ms, __ATOMIC_RELAXED);
+    int64_t since_ms = __atomic_load_n(&front->draining_ms, __ATOMIC_RELAXED);
 
     return g_atomic_int_get(&front->is_draining) &&
            base_clock_ms() - since_ms >= LAST_REQUESTS_MS;
--- a/packages/front/hedge.c
+++ b/packages/front/hedge.c
@@ -129,8 +129,7 @@
     const struct attempt *only = find_only_waiting(exchange);
 
     if (only != NULL && exchange->edge == NULL &&
-        exchange->place.is_idempotent &&
-        !exchange->front->is_naive) {
+        exchange->place.is_idempotent && !exchange->front->is_naive) {
         schedule_hedge(exchange, only);
     }
 }
--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -95,8 +95,7 @@
 on_head(http_parser *parser)
 {
     struct http1 *http1 = parser->data;
-    size_t size =
-        measure_head(http1, http_method_str(parser->method));
+    size_t size = measure_head(http1, http_method_str(parser->method));
     bool has_length = parser->content_length != UINT64_MAX &&
                       parser->content_length <= INT64_MAX;
     struct http1_head head = {
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -4,7 +4,8 @@
 
 /* Requests for a route by host and path.  Streams are relayed event by event,
  * so that one that breaks can go on after the last whole event at another
- * server; other answers are kept until they are whole, where they are small. */
+ * server; other answers are kept until they are whole, where they are small.
+ */
 
 enum {
     MAX_KEPT = 262144,  /* of an answer, before the caller gets any of it */
@@ -94,8 +95,8 @@
 
     while (at < end) {
         const char *line_end = memchr(at, '\n', (size_t)(end - at));
-        size_t length = line_end == NULL ? (size_t)(end - at)
-                                         : (size_t)(line_end - at);
+        size_t length =
+            line_end == NULL ? (size_t)(end - at) : (size_t)(line_end - at);
         if (length > 3 && memcmp(at, "id:", 3) == 0) {
             char *text = g_strndup(at + 3, length - 3);
             g_strlcpy(out, g_strstrip(text), out_size);
@@ -140,8 +141,8 @@
 static size_t
 event_size(const GString *text, size_t from)
 {
-    const char *end = g_strstr_len(text->str + from,
-                                   (gssize)(text->len - from), "\n\n");
+    const char *end =
+        g_strstr_len(text->str + from, (gssize)(text->len - from), "\n\n");
 
     return end == NULL ? 0 : (size_t)(end - (text->str + from)) + 2;
 }
@@ -252,8 +253,8 @@
     int64_t started_us = exchange->request->started_us;
 
     base_log(BASE_LOG_INFO, "front.relayed",
-             "id=%s server=%s status=%d tries=%d events=%d first_ms=%"
-             G_GINT64_FORMAT " server_first_ms=%" G_GINT64_FORMAT
+             "id=%s server=%s status=%d tries=%d events=%d "
+             "first_ms=%" G_GINT64_FORMAT " server_first_ms=%" G_GINT64_FORMAT
              " longest_gap_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
              exchange->request->id, attempt->server_name, attempt->status,
              exchange->n_attempts, exchange->tokens,
@@ -330,17 +331,27 @@
 {
     /* Those of one connection, those that the call sets by itself, and those
      * that tell a server what this node decides. */
-    const char *const OWN[] = {
-        "connection",     "keep-alive",  "proxy-authenticate",
-        "te",             "trailer",     "proxy-authorization",
-        "upgrade",        "expect",      "transfer-encoding",
-        "content-length", "host",        "content-type",
-        edge->request_id, edge->deadline_ms, edge->expected_server,
+    const char *const own[] = {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "proxy-authorization",
+        "upgrade",
+        "expect",
+        "transfer-encoding",
+        "content-length",
+        "host",
+        "content-type",
+        edge->request_id,
+        edge->deadline_ms,
+        edge->expected_server,
         edge->last_event_id,
     };
 
-    for (size_t i = 0; i < G_N_ELEMENTS(OWN); i++) {
-        if (g_ascii_strcasecmp(OWN[i], name) == 0) {
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        if (g_ascii_strcasecmp(own[i], name) == 0) {
             return true;
         }
     }
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -6,7 +6,7 @@
  * task does the work; this hands calls over and words the answers. */
 
 enum {
-    RETRY_AFTER_MS = 300,   /* until a refused caller should come back */
+    RETRY_AFTER_MS = 300, /* until a refused caller should come back */
 };
 
 static const struct front_fault NO_JOB = {
--- a/packages/front/peer.c
+++ b/packages/front/peer.c
@@ -13,6 +13,7 @@
     HEAD_LIMIT = BACKENDS_HEAD_SIZE,
     MAX_BEHIND = 65536, /* bytes of later requests, kept while one is served */
     HEAD_SIZE = 1024,
+    PLAIN_SIZE = 256, /* an answer before any request was read */
     LIBRARY_TIMEOUT_S = 24 * 3600,
 };
 
@@ -45,8 +46,8 @@
 static void
 take_id(struct front_request *request)
 {
-    const char *id = front_request_header(request,
-                                          request->front->edge->request_id);
+    const char *id =
+        front_request_header(request, request->front->edge->request_id);
 
     if (id != NULL && id[0] != '\0') {
         g_strlcpy(request->id, id, sizeof(request->id));
@@ -57,11 +58,11 @@
 take_deadline(struct front_request *request)
 {
     const struct world *world = request->world;
-    const char *text = front_request_header(
-        request, request->front->edge->deadline_ms);
+    const char *text =
+        front_request_header(request, request->front->edge->deadline_ms);
     int64_t wanted = text == NULL ? 0 : g_ascii_strtoll(text, NULL, 10);
-    int64_t limit = world == NULL ? FRONT_DEADLINE_MS
-                                  : world->limits.deadline_ms;
+    int64_t limit =
+        world == NULL ? FRONT_DEADLINE_MS : world->limits.deadline_ms;
 
     if (wanted > 0) {
         limit = world == NULL ? wanted
@@ -74,8 +75,7 @@
 on_head(void *context, const struct http1_head *head)
 {
     struct front_peer *peer = context;
-    struct front_request *request =
-        front_request_new(peer->front, peer->wsi);
+    struct front_request *request = front_request_new(peer->front, peer->wsi);
 
     peer->connection.request = request;
     peer->head_ms = 0;
@@ -126,11 +126,11 @@
 static void
 answer_plainly(struct front_peer *peer, const char *text)
 {
-    unsigned char space[LWS_PRE + 128];
-    size_t size = strlen(text);
+    unsigned char space[LWS_PRE + PLAIN_SIZE];
+    size_t size;
 
     peer->is_broken = true;
-    memcpy(space + LWS_PRE, text, size);
+    size = g_strlcpy((char *)space + LWS_PRE, text, PLAIN_SIZE);
     lws_write(peer->wsi, space + LWS_PRE, size, LWS_WRITE_RAW);
     lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, 1);
 }
@@ -166,8 +166,7 @@
 
     switch (result) {
     case HTTP1_ENDED:
-        g_string_append_len(peer->behind, data + used,
-                            (gssize)(size - used));
+        g_string_append_len(peer->behind, data + used, (gssize)(size - used));
         return true;
     case HTTP1_BAD:
     case HTTP1_HEAD_TOO_LARGE:
@@ -224,8 +223,7 @@
     }
     peer->behind = g_string_new(NULL);
     if (!feed(peer, behind->str, behind->len)) {
-        lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK,
-                        LWS_TO_KILL_ASYNC);
+        lws_set_timeout(peer->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
     g_string_free(behind, TRUE);
 }
@@ -265,9 +263,8 @@
     bool is_ok;
 
     g_string_set_size(head, LWS_PRE);
-    g_string_append_printf(
-        head, "HTTP/1.1 %d %s\r\n", request->status,
-        http1_reason(request->status));
+    g_string_append_printf(head, "HTTP/1.1 %d %s\r\n", request->status,
+                           http1_reason(request->status));
     if (request->closes_after) {
         front_add_header(request, "connection", "close");
     }
@@ -370,7 +367,6 @@
         .timeout_secs = LIBRARY_TIMEOUT_S,
         .options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
                    LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG |
-                   LWS_SERVER_OPTION_ONLY_RAW |
                    /* With IPv6 on, the address is not looked at. */
                    LWS_SERVER_OPTION_DISABLE_IPV6,
     };
@@ -398,8 +394,8 @@
     const struct world *world = peer->front->world;
     int64_t head_ms = or_default(world == NULL ? 0 : world->limits.header_ms,
                                  DEFAULT_HEAD_MS);
-    int64_t idle_ms = or_default(world == NULL ? 0 : world->limits.idle_ms,
-                                 DEFAULT_IDLE_MS);
+    int64_t idle_ms =
+        or_default(world == NULL ? 0 : world->limits.idle_ms, DEFAULT_IDLE_MS);
 
     if (peer->connection.request != NULL || peer->is_broken) {
         return false;
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -4,7 +4,7 @@
 
 enum {
     HEADER_SIZE = 256,
-    RANDOM_ID_SIZE = 33, /* 128 bits in hexadecimal digits */
+    RANDOM_ID_SIZE = 33,      /* 128 bits in hexadecimal digits */
     BODY_BYTES_PER_S = 65536, /* the slowest whole request body */
     MIN_BODY_MS = 20000,
 };
@@ -413,7 +413,7 @@
                request->class_name ? request->class_name : "none", status);
     base_counter_add(base_counter(request->front->metrics.counters, name), 1);
     base_log(request->class_name != NULL || status >= 500 ? BASE_LOG_INFO
-                                                           : BASE_LOG_DEBUG,
+                                                          : BASE_LOG_DEBUG,
              "front.request",
              "id=%s route=%s operator=%s status=%d took_us=%" G_GINT64_FORMAT
              " revision=%" G_GINT64_FORMAT,
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -128,8 +128,7 @@
         site.body_bytes = 1000;
         site.header_ms = 3000;
         site.idle_ms = 15000;
-        return world_of_site(&site, &place, 1, list.data(),
-                             (int)list.size());
+        return world_of_site(&site, &place, 1, list.data(), (int)list.size());
     }
 };
 
@@ -192,8 +191,7 @@
     EXPECT_EQ(answer.headers["x-proof"], "p1");
     EXPECT_EQ(answer.headers["x-id"], "q1");
     EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
-    EXPECT_EQ(seen.substr(0, seen.find("\r\n")),
-              "POST /a/x?y=%26 HTTP/1.1");
+    EXPECT_EQ(seen.substr(0, seen.find("\r\n")), "POST /a/x?y=%26 HTTP/1.1");
     EXPECT_EQ(test_header(seen, "x-model"), "m");
     EXPECT_EQ(test_header(seen, "x-server"), "e1");
     int left = atoi(test_header(seen, "x-left-ms").c_str());
@@ -210,9 +208,9 @@
         stream(fd, request);
     });
     begin({&engine});
-    struct answer answer =
-        ask("POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n"
-            "transfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    struct answer answer = ask(
+        "POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n"
+        "transfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
     EXPECT_EQ(answer.status, 200);
     EXPECT_EQ(seen, "abc");
 }
@@ -227,8 +225,8 @@
         int status;
     } cases[] = {
         {"no such path", post("/b/x", ""), 404},
-        {"no such host",
-         "GET /a/x HTTP/1.1\r\nhost: other\r\nx-id: q\r\n\r\n", 404},
+        {"no such host", "GET /a/x HTTP/1.1\r\nhost: other\r\nx-id: q\r\n\r\n",
+         404},
         {"no host", "GET /a/x HTTP/1.1\r\nx-id: q\r\n\r\n", 404},
         {"too large", post("/a/x", std::string(1001, 'x')), 413},
         {"too large in chunks",
@@ -357,9 +355,9 @@
 TEST_F(Ingress, AServersFailureIsPassedOnUnchanged)
 {
     struct test_server engine([](int fd, const std::string &request) {
-        test_write(fd, "HTTP/1.1 500 No\r\nx-id: " +
-                           test_header(request, "x-id") +
-                           "\r\nx-proof: p5\r\ncontent-length: 4\r\n\r\noops");
+        test_write(fd,
+                   "HTTP/1.1 500 No\r\nx-id: " + test_header(request, "x-id") +
+                       "\r\nx-proof: p5\r\ncontent-length: 4\r\n\r\noops");
     });
     begin({&engine});
     struct answer answer = ask(post("/a/x", "b"));
@@ -382,9 +380,8 @@
 
 TEST_F(Ingress, TheRoutesTimeEndsARequest)
 {
-    struct test_server engine([](int fd, const std::string &) {
-        test_wait_for_close(fd);
-    });
+    struct test_server engine(
+        [](int fd, const std::string &) { test_wait_for_close(fd); });
     timeout_ms = 200;
     begin({&engine});
     EXPECT_EQ(ask(post("/a/x", "b")).status, 504);
@@ -396,8 +393,9 @@
     begin({&engine});
     int fd = test_connect(port);
     test_write(fd, post("/a/1", "b") + post("/b/none", ""));
-    EXPECT_EQ(test_read_answer(fd).status, 200);
-    EXPECT_EQ(test_read_answer(fd).status, 404);
+    std::string rest;
+    EXPECT_EQ(test_read_answer(fd, &rest).status, 200);
+    EXPECT_EQ(test_read_answer(fd, &rest).status, 404);
     close(fd);
 }
 
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -390,10 +390,11 @@
 }
 
 struct answer
-test_read_answer(int fd)
+test_read_answer(int fd, std::string *rest)
 {
     struct answer answer;
-    std::string text;
+    std::string none;
+    std::string &text = rest != nullptr ? *rest : none;
     size_t end;
     while ((end = text.find("\r\n\r\n")) == std::string::npos) {
         if (!read_more(fd, &text)) {
@@ -414,6 +415,7 @@
     }
     answer.body = text.substr(0, size);
     answer.is_whole = text.size() >= size;
+    text.erase(0, size);
     return answer;
 }
 
--- a/packages/front/test_support.h
+++ b/packages/front/test_support.h
@@ -66,7 +66,9 @@
 
 struct answer test_exchange(int port, const std::string &request);
 int test_connect(int port);
-struct answer test_read_answer(int fd);
+/* `rest` keeps what came after the answer, for the next call; NULL: dropped.
+ */
+struct answer test_read_answer(int fd, std::string *rest = nullptr);
 std::string test_post(const std::string &path, const std::string &body,
                       const std::string &headers = "");
 std::string test_get(const std::string &path, const std::string &headers = "");
--- a/packages/jobs/ask.c
+++ b/packages/jobs/ask.c
@@ -5,10 +5,10 @@
 /* Contracts for items: one slot each, asked for when an item waits and given
  * back when it ends or its keeper wants the slot for online work. */
 enum {
-    MAX_ASKS = 24,       /* under way at a time, a node */
-    MAX_RUNNING = 256,   /* items, a node */
-    DIRECT_CHOICES = 2,  /* asked without waiting, before queueing */
-    QUEUE_MS = 1000,     /* that a keeper may queue an ask */
+    MAX_ASKS = 24,      /* under way at a time, a node */
+    MAX_RUNNING = 256,  /* items, a node */
+    DIRECT_CHOICES = 2, /* asked without waiting, before queueing */
+    QUEUE_MS = 1000,    /* that a keeper may queue an ask */
     /* Longer than almost every item; a keeper frees the slots of a holder
      * that is gone by itself. */
     TERM_MS = 20000,
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -3,12 +3,12 @@
 #include <string.h>
 
 enum {
-    KEEP_PART = 3,           /* the lease is renewed in this part of its time */
+    KEEP_PART = 3, /* the lease is renewed in this part of its time */
     LEASE_RETRY_MS = 300,
-    SCAN_MS = 2000,          /* between looks at all heads, with jobs here */
-    IDLE_SCAN_MS = 3000,     /* and without: the lease of one that is gone */
+    SCAN_MS = 2000,      /* between looks at all heads, with jobs here */
+    IDLE_SCAN_MS = 3000, /* and without: the lease of one that is gone */
     SCAN_RETRY_MS = 500,
-    SOON_MS = 200,           /* after a sign that a look is worth it */
+    SOON_MS = 200, /* after a sign that a look is worth it */
     CLAIMS_AT_ONCE = 16,
 };
 
@@ -31,9 +31,17 @@
     }
     jobs->lease = 0;
     jobs->is_registered = false;
+    jobs->said_leaving = false;
     jobs->lease_until_ms = 0;
 }
 
+/* Whether the runner's entry is missing or no longer true. */
+static bool
+must_register(const struct jobs *jobs)
+{
+    return !jobs->is_registered || jobs->is_leaving != jobs->said_leaving;
+}
+
 static void
 on_registered(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -41,10 +49,11 @@
     jobs->lease_next_ms = base_clock_ms() + LEASE_RETRY_MS;
     if (kv->status == PLATFORM_OK) {
         jobs->is_registered = true;
+        jobs->said_leaving = jobs->tells_leaving;
         jobs->lease_next_ms = base_clock_ms() + jobs->lease_ms / KEEP_PART;
         base_log(BASE_LOG_NOTICE, "jobs.registered",
-                 "runner=%s lease=%" G_GINT64_FORMAT, jobs->runner,
-                 jobs->lease);
+                 "runner=%s leaving=%d lease=%" G_GINT64_FORMAT, jobs->runner,
+                 jobs->said_leaving, jobs->lease);
         jobs_scan_soon(jobs);
     }
     else if (kv->status == PLATFORM_LEASE_GONE) {
@@ -55,13 +64,16 @@
 static void
 register_runner(struct jobs *jobs)
 {
+    const char *state =
+        jobs->is_leaving ? JOBS_RUNNER_LEAVING : JOBS_RUNNER_READY;
     char *key = g_strconcat(JOBS_NODE_PREFIX, jobs->runner, NULL);
     struct platform_kv *kv = platform_kv_new(PLATFORM_PUT_IF, key);
 
     kv->expect_revision = PLATFORM_ANY;
     kv->lease = jobs->lease;
-    kv->value = g_bytes_new(jobs->zone, strlen(jobs->zone));
+    kv->value = g_bytes_new_static(state, strlen(state));
     g_free(key);
+    jobs->tells_leaving = jobs->is_leaving;
     jobs->is_leasing = true;
     jobs_kv(jobs, kv, (struct jobs_next){on_registered, NULL});
 }
@@ -83,7 +95,7 @@
     jobs->lease = kv->lease;
     jobs->lease_until_ms = kv->sent_ms + life_ms;
     jobs->lease_next_ms = kv->sent_ms + life_ms / KEEP_PART;
-    if (!jobs->is_registered) {
+    if (must_register(jobs)) {
         register_runner(jobs);
     }
 }
@@ -94,11 +106,14 @@
 {
     struct platform_kv *kv;
 
-    if (jobs->is_leasing || now_ms < jobs->lease_next_ms ||
-        !jobs->is_runner) {
+    if (!jobs->is_leaving && g_atomic_int_get(&jobs->is_draining)) {
+        jobs->is_leaving = true;
+        jobs->lease_next_ms = 0;
+    }
+    if (jobs->is_leasing || now_ms < jobs->lease_next_ms) {
         return;
     }
-    if (jobs->lease != 0 && !jobs->is_registered &&
+    if (jobs->lease != 0 && must_register(jobs) &&
         now_ms < jobs->lease_until_ms) {
         register_runner(jobs);
         return;
@@ -159,8 +174,7 @@
 
     claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
     claim->partials = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = 0; kv->status == PLATFORM_OK && i < kv->entries->len;
-         i++) {
+    for (guint i = 0; kv->status == PLATFORM_OK && i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         jobs_results_decode(entry->value,
                             jobs_is_partial_key(entry->key) ? claim->partials
@@ -174,9 +188,9 @@
     }
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
-        struct jobs_run *run = jobs_run_start(
-            jobs, g_steal_pointer(&claim->job), &claim->head, claim->revision,
-            g_steal_pointer(&claim->results));
+        struct jobs_run *run =
+            jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
+                           claim->revision, g_steal_pointer(&claim->results));
         jobs_run_take_partials(run, claim->partials);
     }
     g_hash_table_remove(jobs->submitting, claim->id);
@@ -257,8 +271,8 @@
     g_strlcpy(claim->id, head->id, sizeof(claim->id));
     jobs_head_copy(&claim->head, head);
     base_log(BASE_LOG_INFO, "jobs.claiming",
-             "id=%s from=%s epoch=%" G_GINT64_FORMAT " revision=%"
-             G_GINT64_FORMAT,
+             "id=%s from=%s epoch=%" G_GINT64_FORMAT
+             " revision=%" G_GINT64_FORMAT,
              head->id, head->runner, head->epoch, revision);
     claim->head.epoch++;
     g_strlcpy(claim->head.runner, jobs->runner, sizeof(claim->head.runner));
@@ -285,7 +299,8 @@
 
 /* ---- looking ---- */
 
-/* Which of the living runners takes a job: the same one for all who look. */
+/* Which of the living runners takes a job: the same one for all who look.
+ * `living` tells of each whether it is leaving. */
 static bool
 is_next_runner(const struct jobs *jobs, GHashTable *living, const char *id)
 {
@@ -293,10 +308,11 @@
     uint64_t own = base_hash_text(jobs->runner, seed);
     GHashTableIter iter;
     gpointer key;
+    gpointer is_leaving;
 
     g_hash_table_iter_init(&iter, living);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        if (base_hash_text(key, seed) > own) {
+    while (g_hash_table_iter_next(&iter, &key, &is_leaving)) {
+        if (!GPOINTER_TO_INT(is_leaving) && base_hash_text(key, seed) > own) {
             return false;
         }
     }
@@ -329,6 +345,16 @@
     return 0;
 }
 
+static bool
+says_leaving(const struct platform_entry *entry)
+{
+    gsize size = 0;
+    const char *state = g_bytes_get_data(entry->value, &size);
+
+    return size == strlen(JOBS_RUNNER_LEAVING) &&
+           memcmp(state, JOBS_RUNNER_LEAVING, size) == 0;
+}
+
 static GHashTable *
 find_living(const struct platform_kv *kv)
 {
@@ -337,7 +363,8 @@
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         if (g_str_has_prefix(entry->key, JOBS_NODE_PREFIX)) {
-            g_hash_table_add(living, entry->key + strlen(JOBS_NODE_PREFIX));
+            g_hash_table_insert(living, entry->key + strlen(JOBS_NODE_PREFIX),
+                                GINT_TO_POINTER(says_leaving(entry)));
         }
     }
     return living;
@@ -358,8 +385,7 @@
         return;
     }
     living = find_living(kv);
-    for (guint i = 0; i < kv->entries->len && n_claims < CLAIMS_AT_ONCE;
-         i++) {
+    for (guint i = 0; i < kv->entries->len && n_claims < CLAIMS_AT_ONCE; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         const char *id = entry->key + strlen(JOBS_HEAD_PREFIX);
         struct base_error err = {0};
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -54,12 +54,13 @@
 {
     const struct jobs_item *item = work->run->job->items->pdata[work->index];
 
-    base_log(BASE_LOG_INFO, "jobs.item_back",
-             "job=%s item=%s server=%s status=%d ran=%s events=%"
-             G_GINT64_FORMAT " yielded=%d failures=%d error=\"%s\"",
-             work->run->head.id, item->id, work->server_name, result->status,
-             base_verdict_name(result->verdict), work->events.count,
-             work->is_yielded, work->n_failures, result->err.text);
+    base_log(
+        BASE_LOG_INFO, "jobs.item_back",
+        "job=%s item=%s server=%s status=%d ran=%s events=%" G_GINT64_FORMAT
+        " yielded=%d failures=%d error=\"%s\"",
+        work->run->head.id, item->id, work->server_name, result->status,
+        base_verdict_name(result->verdict), work->events.count,
+        work->is_yielded, work->n_failures, result->err.text);
 }
 
 static void
@@ -168,12 +169,12 @@
 static bool
 is_own_header(const struct jobs_names *names, const char *name)
 {
-    const char *const OWN[] = {"content-length",       "host",
+    const char *const own[] = {"content-length",       "host",
                                "content-type",         names->request_id,
                                names->expected_server, names->last_event_id};
 
-    for (size_t i = 0; i < G_N_ELEMENTS(OWN); i++) {
-        if (g_ascii_strcasecmp(OWN[i], name) == 0) {
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        if (g_ascii_strcasecmp(own[i], name) == 0) {
             return true;
         }
     }
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 enum {
-    KEEP_MS = 120000,    /* ended jobs stay readable */
     LEASE_MS = 3000,     /* of a runner that is gone, until others take over */
     STOP_WAIT_MS = 3000, /* for calls to other tasks */
 };
@@ -106,9 +105,8 @@
 const struct world_ingress *
 jobs_route(const struct jobs *jobs, const char *host, const char *path)
 {
-    return jobs->world == NULL
-               ? NULL
-               : world_find_ingress(jobs->world, host, path);
+    return jobs->world == NULL ? NULL
+                               : world_find_ingress(jobs->world, host, path);
 }
 
 /* ---- calls ---- */
@@ -194,9 +192,8 @@
 {
     struct update *update = (struct update *)call;
     struct jobs *jobs = task_state;
-    bool has_lost_nodes =
-        jobs->view != NULL &&
-        count_working(update->view) < count_working(jobs->view);
+    bool has_lost_nodes = jobs->view != NULL && count_working(update->view) <
+                                                    count_working(jobs->view);
 
     world_unref(jobs->world);
     jobs->world = world_ref(update->world);
@@ -356,8 +353,6 @@
     jobs->control = desc->control;
     jobs->names = desc->names;
     jobs->decode = desc->decode;
-    jobs->is_runner = desc->is_runner;
-    jobs->keep_ms = desc->keep_ms > 0 ? desc->keep_ms : KEEP_MS;
     jobs->lease_ms = desc->lease_ms > 0 ? desc->lease_ms : LEASE_MS;
     make_counters(jobs, desc->counters);
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -50,7 +50,6 @@
 void jobs_job_free(struct jobs_job *job);
 struct jobs_item *jobs_job_add(struct jobs_job *job);
 
-
 enum jobs_op {
     JOBS_SUBMIT,
     JOBS_RESULTS, /* from the position `after` on */
@@ -91,9 +90,9 @@
     char item[JOBS_ID_SIZE];
     struct jobs_job *job;
     int after;
-    int64_t wait_ms;     /* JOBS_RESULTS: until there is one */
-    bool is_from_peer;   /* another node asks: only this node's own jobs */
-    bool is_peer_asked;  /* the jobs task's: its runner was asked in vain */
+    int64_t wait_ms;    /* JOBS_RESULTS: until there is one */
+    bool is_from_peer;  /* another node asks: only this node's own jobs */
+    bool is_peer_asked; /* the jobs task's: its runner was asked in vain */
     /* the answer */
     enum jobs_status status;
     struct jobs_answer answer;
@@ -134,12 +133,11 @@
     /* Reads a submitted text again, after it was kept. */
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
-    bool is_runner;
-    const char *link_address; /* "IP:port" for other nodes' calls; NULL: none */
+    const char
+        *link_address; /* "IP:port" for other nodes' calls; NULL: none */
     const char *public_key_file; /* of the link; NULL: no CURVE */
     const char *secret_key_file;
     const char *peer_keys_file;
-    int64_t keep_ms;  /* ended jobs stay readable this long; 0: 120,000 */
     int64_t lease_ms; /* of a runner; 0: 3,000 */
 };
 
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -107,8 +107,6 @@
     struct jobs_names names;
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
-    bool is_runner;
-    int64_t keep_ms;
     int64_t lease_ms;
     lws_sorted_usec_list_t timer;
     struct world *world;
@@ -129,6 +127,9 @@
     int64_t lease;
     bool is_leasing;
     bool is_registered;
+    bool is_leaving;    /* takes no more jobs */
+    bool tells_leaving; /* in the entry on its way */
+    bool said_leaving;  /* in the entry that is there */
     int64_t lease_until_ms;
     int64_t lease_next_ms;
     /* looking for jobs without a runner */
--- a/packages/jobs/link.c
+++ b/packages/jobs/link.c
@@ -32,8 +32,7 @@
 static bool
 read_reply(const struct wire_answer *answer, struct jobs_request *request)
 {
-    Jobs__Reply *reply =
-        jobs__reply__unpack(NULL, answer->size, answer->body);
+    Jobs__Reply *reply = jobs__reply__unpack(NULL, answer->size, answer->body);
     struct base_error err = {0};
     bool is_ok = reply != NULL && reply->status <= JOBS_NOT_ALLOWED;
 
@@ -65,9 +64,8 @@
 
     request->status = JOBS_REFUSED;
     if (answer->code != BASE_OK || !read_reply(answer, request)) {
-        base_log(BASE_LOG_INFO, "jobs.peer_silent",
-                 "id=%s peer=%s code=%s", request->id, ask->address,
-                 base_code_name(answer->code));
+        base_log(BASE_LOG_INFO, "jobs.peer_silent", "id=%s peer=%s code=%s",
+                 request->id, ask->address, base_code_name(answer->code));
     }
     base_call_reply(&ask->call);
 }
@@ -122,8 +120,7 @@
 void
 jobs_link_ask(struct jobs_link *link, const char *address,
               struct jobs_request *request, struct base_task *from,
-              void (*answered)(struct jobs_request *request,
-                               void *task_state))
+              void (*answered)(struct jobs_request *request, void *task_state))
 {
     static const struct base_call_ops OPS = {serve_ask, ask_done, drop_ask};
     struct ask *ask = g_new0(struct ask, 1);
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -210,8 +210,7 @@
         return;
     }
     g_hash_table_replace(jobs->located, g_strdup(head->id),
-                         g_strndup(head->runner,
-                                   strcspn(head->runner, "#")));
+                         g_strndup(head->runner, strcspn(head->runner, "#")));
 }
 
 static void
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -90,8 +90,7 @@
     int n_items = (int)json_array_size(tokens);
 
     for (int i = 0; i < n_items; i++) {
-        int64_t value =
-            json_integer_value(json_array_get(tokens, (size_t)i));
+        int64_t value = json_integer_value(json_array_get(tokens, (size_t)i));
         g_array_append_val(head->tokens, value);
     }
     for (size_t i = 0; i < json_array_size(listed); i++) {
@@ -228,8 +227,8 @@
     void *out;
     size_t used;
 
-    if (whole == ZSTD_CONTENTSIZE_ERROR ||
-        whole == ZSTD_CONTENTSIZE_UNKNOWN || whole > MAX_TEXT_BYTES) {
+    if (whole == ZSTD_CONTENTSIZE_ERROR || whole == ZSTD_CONTENTSIZE_UNKNOWN ||
+        whole > MAX_TEXT_BYTES) {
         base_error_set(err, BASE_CORRUPT, "a stored text has no good frame");
         return NULL;
     }
@@ -350,7 +349,8 @@
     uint32_t size;
 
     if (!read_number(reader, &is_completed) || !read_number(reader, &size) ||
-        size >= sizeof(out->id) || reader->end - reader->at < (ptrdiff_t)size) {
+        size >= sizeof(out->id) ||
+        reader->end - reader->at < (ptrdiff_t)size) {
         return false;
     }
     memcpy(out->id, reader->at, size);
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -22,6 +22,9 @@
 #define JOBS_ACTIVE_PREFIX "jobs/a/"
 #define JOBS_HEAD_PREFIX "jobs/a/h/"
 #define JOBS_NODE_PREFIX "jobs/a/n/"
+/* What a runner's own entry says of it. */
+#define JOBS_RUNNER_READY "ready"
+#define JOBS_RUNNER_LEAVING "leaving" /* holds jobs, takes none */
 #define JOBS_INPUT_PREFIX "jobs/i/"
 #define JOBS_RESULTS_PREFIX "jobs/r/"
 
@@ -36,7 +39,7 @@
     char *host;
     char *path;
     char *route;
-    int64_t submitted_ms; /* wall clock */
+    int64_t submitted_ms;          /* wall clock */
     char runner[JOBS_RUNNER_SIZE]; /* node#life; empty: nobody's */
     int64_t epoch;                 /* grows with each change of the runner */
     bool is_ended;                 /* the client ended the job */
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -82,8 +82,8 @@
     set_limits(run);
     g_hash_table_replace(jobs->runs, run->head.id, run);
     base_log(BASE_LOG_INFO, "jobs.running",
-             "id=%s epoch=%" G_GINT64_FORMAT " open=%d due_ms=%"
-             G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
+             "id=%s epoch=%" G_GINT64_FORMAT
+             " open=%d due_ms=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
              run->head.id, run->head.epoch, run->n_open,
              run->due_ms - base_wall_ms(), revision);
     return run;
@@ -134,8 +134,8 @@
                         work->events.count, work->events.last_id);
         g_string_append_len(text, work->events.text->str,
                             (gssize)work->events.text->len);
-        g_ptr_array_add(partials, jobs_result_new(item->id, true, text->str,
-                                                  text->len));
+        g_ptr_array_add(partials,
+                        jobs_result_new(item->id, true, text->str, text->len));
         g_string_free(text, TRUE);
     }
     if (partials->len > 0) {
@@ -202,9 +202,8 @@
     work->state = JOBS_WORK_DONE;
     work->is_completed = is_completed;
     run->n_open--;
-    base_counter_add(is_completed ? run->jobs->n_completed
-                                  : run->jobs->n_given_up,
-                     1);
+    base_counter_add(
+        is_completed ? run->jobs->n_completed : run->jobs->n_given_up, 1);
     base_log(BASE_LOG_INFO, "jobs.item_done",
              "job=%s item=%s completed=%d events=%" G_GINT64_FORMAT
              " failures=%d server=%s",
@@ -221,10 +220,9 @@
         const struct jobs_work *work =
             &run->works[g_array_index(run->writing, int, i)];
         const struct jobs_item *item = run->job->items->pdata[work->index];
-        g_ptr_array_add(results,
-                        jobs_result_new(item->id, work->is_completed,
-                                        work->events.text->str,
-                                        work->events.text->len));
+        g_ptr_array_add(results, jobs_result_new(item->id, work->is_completed,
+                                                 work->events.text->str,
+                                                 work->events.text->len));
     }
     return results;
 }
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -68,7 +68,8 @@
 static void
 write_job(struct jobs *jobs, struct submission *submission)
 {
-    struct platform_kv *kv = platform_kv_new(PLATFORM_TXN, submission->job->id);
+    struct platform_kv *kv =
+        platform_kv_new(PLATFORM_TXN, submission->job->id);
     GPtrArray *pieces = jobs_text_split(submission->job->text);
     char *head_key = jobs_head_key(submission->job->id);
 
@@ -86,18 +87,12 @@
     jobs_kv(jobs, kv, (struct jobs_next){on_written, submission});
 }
 
-static int64_t
-own_tokens(const struct jobs_head *head)
-{
-    return jobs_head_waiting_tokens(head);
-}
-
 /* All heads were read: does the job fit beside those that wait? */
 static void
 on_heads(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct submission *submission = context;
-    int64_t waiting = own_tokens(&submission->head);
+    int64_t waiting = jobs_head_waiting_tokens(&submission->head);
 
     if (kv->status != PLATFORM_OK) {
         submission->request->err = kv->err;
@@ -124,8 +119,8 @@
     }
     if (waiting > submission->limit) {
         base_error_set(&submission->request->err, BASE_FULL,
-                       "%" G_GINT64_FORMAT " tokens would wait, %"
-                       G_GINT64_FORMAT " may",
+                       "%" G_GINT64_FORMAT
+                       " tokens would wait, %" G_GINT64_FORMAT " may",
                        waiting, submission->limit);
         finish(jobs, submission, JOBS_FULL);
         return;
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -127,11 +127,11 @@
     fake->n_commits += is_commit ? 1 : 0;
     if (!try_write(kv)) {
         kv->status = PLATFORM_CONFLICT;
-        add_current(kv, kv->op == PLATFORM_PUT_IF
-                            ? kv->key
-                            : ((struct platform_condition *)
-                                   kv->conditions->pdata[0])
-                                  ->key);
+        add_current(
+            kv, kv->op == PLATFORM_PUT_IF
+                    ? kv->key
+                    : ((struct platform_condition *)kv->conditions->pdata[0])
+                          ->key);
         return;
     }
     kv->revision = fake->revision;
@@ -179,8 +179,8 @@
         fake->leases.insert(kv->lease);
         return;
     case PLATFORM_LEASE_KEEP:
-        kv->status = fake->leases.count(kv->lease) ? PLATFORM_OK
-                                                   : PLATFORM_LEASE_GONE;
+        kv->status =
+            fake->leases.count(kv->lease) ? PLATFORM_OK : PLATFORM_LEASE_GONE;
         return;
     case PLATFORM_LEASE_REVOKE:
         lapse(kv->lease);
@@ -391,8 +391,8 @@
 std::string
 head(const std::string &request, const char *status = "200 OK")
 {
-    return std::string("HTTP/1.1 ") + status + "\r\nx-id: " +
-           test_header(request, "x-id") +
+    return std::string("HTTP/1.1 ") + status +
+           "\r\nx-id: " + test_header(request, "x-id") +
            "\r\ncontent-type: text/event-stream\r\n"
            "transfer-encoding: chunked\r\n\r\n";
 }
@@ -504,7 +504,6 @@
         desc.counters = &site.counters;
         desc.names = {"x-id", "x-server", "last-id", "x-refused", 421};
         desc.decode = decode;
-        desc.is_runner = true;
         desc.lease_ms = 600;
         jobs = jobs_start(&desc, &err);
         EXPECT_NE(jobs, nullptr) << err.text;
@@ -575,8 +574,7 @@
             return out;
         }
         for (guint i = 0; i < answer->answer.results->len; i++) {
-            auto *at =
-                (struct jobs_result *)answer->answer.results->pdata[i];
+            auto *at = (struct jobs_result *)answer->answer.results->pdata[i];
             out.push_back(std::string(at->id) +
                           (at->is_completed ? "=" : "!") +
                           std::string(at->text, at->size));
@@ -665,8 +663,8 @@
     one->stop(); /* its lease ends with nobody to renew it */
     {
         std::lock_guard<std::mutex> hold(site.store.lock);
-        for (auto &[key, at] : std::map<std::string, stored>(
-                 site.store.records)) {
+        for (auto &[key, at] :
+             std::map<std::string, stored>(site.store.records)) {
             if (key.rfind(JOBS_NODE_PREFIX "n1#", 0) == 0) {
                 lapse(at.lease);
             }
@@ -709,8 +707,8 @@
     one->stop();
     {
         std::lock_guard<std::mutex> hold(site.store.lock);
-        for (auto &[key, at] : std::map<std::string, stored>(
-                 site.store.records)) {
+        for (auto &[key, at] :
+             std::map<std::string, stored>(site.store.records)) {
             if (key.rfind(JOBS_NODE_PREFIX "n1#", 0) == 0) {
                 lapse(at.lease);
             }
@@ -928,6 +926,37 @@
     EXPECT_TRUE(jobs_is_idle(one.jobs));
 }
 
+/* Whichever runner the hash prefers, one that stops takes nothing again. */
+TEST(Jobs, AStoppingRunnerIsNotChosenForTheJobsItGaveAway)
+{
+    const int n_jobs = 8;
+    std::atomic<bool> is_held{true};
+    std::atomic<int> n_runs{0};
+    Site site([&](int fd, const std::string &request) {
+        if (is_held) {
+            n_runs++;
+            test_wait_for_close(fd);
+            return;
+        }
+        serve(fd, request);
+    });
+    Node one(site, "n1");
+    Node two(site, "n2");
+
+    for (int i = 0; i < n_jobs; i++) {
+        ASSERT_EQ(one.submit(("j" + std::to_string(i)).c_str(), "a"), JOBS_OK);
+    }
+    while (n_runs < n_jobs) {
+        g_usleep(1000);
+    }
+    is_held = false;
+    jobs_drain(one.jobs);
+    for (int i = 0; i < n_jobs; i++) {
+        std::string id = "j" + std::to_string(i);
+        EXPECT_EQ(two.wait_for(id.c_str(), 1).size(), 1u) << id;
+    }
+}
+
 TEST(Jobs, WithoutTheStoreNothingIsAcceptedAndNothingIsDenied)
 {
     Site site;
--- a/packages/jobs/test_record.cc
+++ b/packages/jobs/test_record.cc
@@ -54,9 +54,8 @@
 
 TEST(Record, AHeadThatCannotBeReadIsSaidSo)
 {
-    static const char *const TEXTS[] = {
-        "", "{", "[]", "{\"tokens\":[]}",
-        "{\"tokens\":[1],\"listed\":[1]}"};
+    static const char *const TEXTS[] = {"", "{", "[]", "{\"tokens\":[]}",
+                                        "{\"tokens\":[1],\"listed\":[1]}"};
 
     for (const char *text : TEXTS) {
         SCOPED_TRACE(text);
@@ -129,22 +128,42 @@
         bool is_whole;
         bool may_resume;
     } cases[] = {
-        {"whole", {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, "a\nb", true,
+        {"whole",
+         {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"},
+         "a\nb",
+         true,
          true},
-        {"cut in an event", {"id: 1\ndata: a\n\nid: 2\nda"}, "a", false,
+        {"cut in an event", {"id: 1\ndata: a\n\nid: 2\nda"}, "a", false, true},
+        {"in small pieces",
+         {"id", ": 1\nda", "ta: a\n", "\n"},
+         "a",
+         true,
          true},
-        {"in small pieces", {"id", ": 1\nda", "ta: a\n", "\n"}, "a", true,
+        {"data of two lines",
+         {"id: 1\ndata: a\ndata: b\n\n"},
+         "a\nb",
+         true,
          true},
-        {"data of two lines", {"id: 1\ndata: a\ndata: b\n\n"}, "a\nb", true,
+        {"a field that is not known",
+         {"x-weight: 3\nid: 1\ndata: a\n\n"},
+         "a",
+         true,
          true},
-        {"a field that is not known", {"x-weight: 3\nid: 1\ndata: a\n\n"},
-         "a", true, true},
-        {"a comment between", {"id: 1\ndata: a\n\n: ping\n\n"}, "a", true,
+        {"a comment between",
+         {"id: 1\ndata: a\n\n: ping\n\n"},
+         "a",
+         true,
          true},
-        {"an event is missing", {"id: 1\ndata: a\n\nid: 3\ndata: c\n\n"}, "a",
-         false, false},
-        {"an event twice", {"id: 1\ndata: a\n\nid: 1\ndata: a\n\n"}, "a",
-         false, false},
+        {"an event is missing",
+         {"id: 1\ndata: a\n\nid: 3\ndata: c\n\n"},
+         "a",
+         false,
+         false},
+        {"an event twice",
+         {"id: 1\ndata: a\n\nid: 1\ndata: a\n\n"},
+         "a",
+         false,
+         false},
         {"without ids", {"data: a\n\ndata: b\n\n"}, "a\nb", true, false},
         {"nothing", {}, "", false, false},
     };
--- a/packages/members/members.h
+++ b/packages/members/members.h
@@ -31,7 +31,7 @@
     char control_address[MEMBERS_ADDRESS_SIZE]; /* "IP:port" */
     char bulk_address[MEMBERS_ADDRESS_SIZE];    /* empty: keeps no bulk data */
     char http_address[MEMBERS_ADDRESS_SIZE];
-    char jobs_address[MEMBERS_ADDRESS_SIZE];    /* empty: runs no jobs */
+    char jobs_address[MEMBERS_ADDRESS_SIZE]; /* empty: runs no jobs */
     uint64_t incarnation;
     uint64_t life; /* another number after each start of the process */
     enum members_state state;
--- a/packages/members/members_private.h
+++ b/packages/members/members_private.h
@@ -58,7 +58,7 @@
     int64_t next_stranger_ms;
     int64_t next_retry_ms;
     int64_t next_rumor_ms;
-    bool has_rumor; /* news that others should hear at once */
+    bool has_rumor;              /* news that others should hear at once */
     int64_t refreshing_until_ms; /* after a pause: no verdicts till then */
     bool has_joined;
 };
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -113,11 +113,10 @@
 start_control(struct node *node, struct base_error *err)
 {
     const struct node_settings *settings = node->settings;
-    char *http =
-        settings->site.is_set
-            ? g_strdup(settings->site.callers)
-            : g_strdup_printf("%s:%d", settings->http_address,
-                              settings->http_port);
+    char *http = settings->site.is_set
+                     ? g_strdup(settings->site.callers)
+                     : g_strdup_printf("%s:%d", settings->http_address,
+                                       settings->http_port);
     const struct control_desc desc = {
         .node = settings->name,
         .zone = settings->zone,
@@ -204,7 +203,6 @@
                   .refused_unrun = edge->refused_unrun,
                   .misdirected_status = edge->misdirected_status},
         .decode = edge->decode_job,
-        .is_runner = true,
         .link_address = settings->site.jobs,
         .public_key_file = settings->public_key_file,
         .secret_key_file = settings->secret_key_file,
@@ -222,9 +220,8 @@
 start_site_front(struct node *node, struct base_error *err)
 {
     const struct node_settings *settings = node->settings;
-    const char *const listed[] = {settings->site.callers,
-                                  settings->site.probes,
-                                  settings->site.metrics};
+    const char *const listed[] = {
+        settings->site.callers, settings->site.probes, settings->site.metrics};
     const char *addresses[G_N_ELEMENTS(listed)];
     struct front_desc desc = {
         .node = settings->name,
@@ -346,8 +343,7 @@
     control_leave(node->control);
     while (!is_done && base_clock_ms() < end_ms) {
         g_usleep(DRAIN_POLL_MS * 1000);
-        is_done =
-            is_idle(node) && base_clock_ms() - start_ms >= unready_ms;
+        is_done = is_idle(node) && base_clock_ms() - start_ms >= unready_ms;
     }
     return is_done;
 }
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -35,11 +35,11 @@
 /* A site with routes by host and path, and servers that register. */
 struct node_site_settings {
     bool is_set;
-    char *callers; /* "IP:port" to listen on; NULL: takes no requests */
-    char *probes;  /* for the balancer's checks; NULL: with the callers */
-    char *metrics; /* NULL: with the callers */
+    char *callers;   /* "IP:port" to listen on; NULL: takes no requests */
+    char *probes;    /* for the balancer's checks; NULL: with the callers */
+    char *metrics;   /* NULL: with the callers */
     bool may_retire; /* the operator may have this machine emptied */
-    char *jobs;    /* for other nodes' calls about jobs; NULL: runs none */
+    char *jobs;      /* for other nodes' calls about jobs; NULL: runs none */
     struct world_place *places;
     int n_places;
     int n_watchers; /* of the key-value service, in a zone */
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -18,9 +18,9 @@
     "platform", "policy",      "log_level",    "drain_ms", "batch_runner",
     "announce", "source",      "site",         NULL,
 };
-static const char *const KNOWN_SITE[] = {
-    "callers", "probes", "metrics", "jobs",
-    "zones",   "watchers", "may_retire", NULL};
+static const char *const KNOWN_SITE[] = {"callers",    "probes", "metrics",
+                                         "jobs",       "zones",  "watchers",
+                                         "may_retire", NULL};
 static const char *const KNOWN_HTTP[] = {"address", "port", "certificate",
                                          "key", NULL};
 static const char *const KNOWN_KEYS[] = {"public", "secret", "peers", NULL};
@@ -290,12 +290,12 @@
     site->is_set = true;
     site->may_retire = json_is_true(may_retire);
     if (!check_members(json, "$.site", KNOWN_SITE, err) ||
-        !read_address(json, "$.site", "callers", TEXT_OPTIONAL,
-                      &site->callers, err) ||
+        !read_address(json, "$.site", "callers", TEXT_OPTIONAL, &site->callers,
+                      err) ||
         !read_address(json, "$.site", "probes", TEXT_OPTIONAL, &site->probes,
                       err) ||
-        !read_address(json, "$.site", "metrics", TEXT_OPTIONAL,
-                      &site->metrics, err) ||
+        !read_address(json, "$.site", "metrics", TEXT_OPTIONAL, &site->metrics,
+                      err) ||
         !read_address(json, "$.site", "jobs", TEXT_OPTIONAL, &site->jobs,
                       err) ||
         !read_number(json, "$.site", "watchers", 1, 1000, &n_watchers, err) ||
--- a/packages/place/contracts_policy.c
+++ b/packages/place/contracts_policy.c
@@ -116,8 +116,7 @@
             int server = view->deployment->servers[i];
             if (place_was_tried(view->request, server) ||
                 (tier < ANY && !is_healthy(view, server)) ||
-                (tier == NEAR && !is_batch(view) &&
-                 !is_near(view, server))) {
+                (tier == NEAR && !is_batch(view) && !is_near(view, server))) {
                 continue;
             }
             is_full = is_full && usage(view, server) > FULL;
--- a/packages/platform/codec.c
+++ b/packages/platform/codec.c
@@ -409,10 +409,9 @@
 
     for (size_t i = 0; i < json_array_size(answers); i++) {
         bool is_ours;
-        read_entries(kv,
-                     json_object_get(json_array_get(answers, i),
-                                     "response_range"),
-                     &is_ours);
+        read_entries(
+            kv, json_object_get(json_array_get(answers, i), "response_range"),
+            &is_ours);
         if (is_ours) {
             const struct platform_entry *entry =
                 kv->entries->pdata[kv->entries->len - 1];
@@ -594,8 +593,7 @@
     for (size_t i = 0; i < json_array_size(events); i++) {
         const json_t *event = json_array_get(events, i);
         const char *type = json_string_value(json_object_get(event, "type"));
-        struct platform_change *change =
-            g_new0(struct platform_change, 1);
+        struct platform_change *change = g_new0(struct platform_change, 1);
         char write_id[ID_DIGITS + 1];
         change->is_delete = g_strcmp0(type, "DELETE") == 0;
         read_entry(json_object_get(event, "kv"), &change->entry, write_id);
--- a/packages/platform/internal.h
+++ b/packages/platform/internal.h
@@ -58,10 +58,9 @@
 void platform_attempts_drop(struct platform *platform);
 void platform_watches_drop(struct platform *platform);
 /* watch.c, for poll.c */
-struct platform_event *
-platform_event_new(void (*happened)(struct platform_event *event,
-                                    void *task_state),
-                   void *context);
+struct platform_event *platform_event_new(
+    void (*happened)(struct platform_event *event, void *task_state),
+    void *context);
 void platform_event_send(struct platform_event *event, struct base_task *to);
 
 /* poll.c */
--- a/packages/platform/poll.c
+++ b/packages/platform/poll.c
@@ -63,8 +63,8 @@
 static void
 call_next(struct platform_poll *poll)
 {
-    call_after(poll, poll->sent_ms + poll->platform->poll_pace_ms -
-                         base_clock_ms());
+    call_after(poll,
+               poll->sent_ms + poll->platform->poll_pace_ms - base_clock_ms());
 }
 
 static void
@@ -136,9 +136,8 @@
     int64_t first_revision = poll->list->revision;
 
     if (result->is_complete) {
-        decoded = poll->platform->dialect->decode(poll->list, false,
-                                                  result->status, result->body,
-                                                  result->size);
+        decoded = poll->platform->dialect->decode(
+            poll->list, false, result->status, result->body, result->size);
     }
     /* Pages are not of one moment: what changes meanwhile is told by the
      * calls that follow the first page's revision. */
--- a/packages/platform/task.c
+++ b/packages/platform/task.c
@@ -176,8 +176,7 @@
         desc->silence_ms > 0 ? desc->silence_ms : DEFAULT_SILENCE_MS;
     platform->poll_pace_ms =
         desc->poll_pace_ms > 0 ? desc->poll_pace_ms : DEFAULT_POLL_PACE_MS;
-    platform->dialect =
-        desc->dialect != NULL ? desc->dialect : &platform_etcd;
+    platform->dialect = desc->dialect != NULL ? desc->dialect : &platform_etcd;
     platform->counters = desc->counters;
     platform_budget_init(&platform->budget,
                          desc->calls_per_s > 0 ? desc->calls_per_s
--- a/packages/platform/watch.c
+++ b/packages/platform/watch.c
@@ -301,11 +301,10 @@
         g_hash_table_lookup(platform->watches, &request->id);
 
     if (request->prefix != NULL && platform->dialect->encode_poll != NULL) {
-        platform_poll_begin(platform,
-                            &(struct platform_watch_desc){
-                                request->id,
-                                g_steal_pointer(&request->prefix), request->to,
-                                request->context, request->happened});
+        platform_poll_begin(
+            platform, &(struct platform_watch_desc){
+                          request->id, g_steal_pointer(&request->prefix),
+                          request->to, request->context, request->happened});
     }
     else if (request->prefix != NULL) {
         begin_watch(platform, request);
--- a/packages/world/site.c
+++ b/packages/world/site.c
@@ -4,14 +4,14 @@
 
 /* Defaults for what a foreign configuration does not say. */
 enum {
-    DEADLINE_MS = 60000,     /* of a request that names none: the document's */
+    DEADLINE_MS = 60000, /* of a request that names none: the document's */
     MAX_DEADLINE_MS = 600000,
-    SILENCE_MS = 2400,       /* clients of a site wait no longer for a piece */
-    MAX_ATTEMPTS = 4,        /* servers refused or lost, a request */
-    REGION_LINK_MS = 20,     /* one way; the sites' sheets */
-    TARGET_MS = 380,         /* first token; the letter's fleet */
-    GAP_TARGET_MS = 300,     /* between events; the sites' sheets */
-    LONG_TOKENS = 1 << 20,   /* no request counts as long */
+    SILENCE_MS = 2400,     /* clients of a site wait no longer for a piece */
+    MAX_ATTEMPTS = 4,      /* servers refused or lost, a request */
+    REGION_LINK_MS = 20,   /* one way; the sites' sheets */
+    TARGET_MS = 380,       /* first token; the letter's fleet */
+    GAP_TARGET_MS = 300,   /* between events; the sites' sheets */
+    LONG_TOKENS = 1 << 20, /* no request counts as long */
 };
 
 /* A retry follows only a request that did not run or may run twice, so a
@@ -90,7 +90,8 @@
         return found;
     }
     int region_index = add_region(world, region);
-    world->zones = g_renew(struct world_zone, world->zones, world->n_zones + 1);
+    world->zones =
+        g_renew(struct world_zone, world->zones, world->n_zones + 1);
     world->zones[world->n_zones].name = g_strdup(name);
     world->zones[world->n_zones].region = region_index;
     return world->n_zones++;
@@ -169,8 +170,7 @@
 
     route->splits = g_new0(struct world_split, MAX(from->n_splits, 1));
     for (int i = 0; i < from->n_splits; i++) {
-        int deployment =
-            world_find_deployment(world, from->splits[i].service);
+        int deployment = world_find_deployment(world, from->splits[i].service);
         if (deployment == WORLD_NONE || from->splits[i].weight <= 0) {
             continue;
         }
--- a/packages/world/site.h
+++ b/packages/world/site.h
@@ -75,8 +75,8 @@
     int port;
     char *zone;
     int slots;
-    bool is_draining;    /* takes no new work */
-    int64_t started_ms;  /* wall clock; 0: not known */
+    bool is_draining;   /* takes no new work */
+    int64_t started_ms; /* wall clock; 0: not known */
 };
 
 /* How a foreign configuration and the servers' entries are read. */
@@ -97,10 +97,10 @@
 
 void world_site_free(struct world_site *site);
 void world_registration_finish(struct world_registration *registration);
-struct world *
-world_of_site(const struct world_site *site, const struct world_place *places,
-              int n_places, const struct world_registration *const *servers,
-              int n_servers);
+struct world *world_of_site(const struct world_site *site,
+                            const struct world_place *places, int n_places,
+                            const struct world_registration *const *servers,
+                            int n_servers);
 const struct world_ingress *world_find_ingress(const struct world *world,
                                                const char *host,
                                                const char *path);
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -88,12 +88,12 @@
     int n_routes;
     double first_token_target_ms;
     double inter_token_target_ms;
-    int long_tokens;     /* from this many tokens a request is long */
-    double long_share;   /* of a server's window, for long requests */
-    double batch_share;  /* of a server's window, at most, for batch */
-    bool batch_fills;    /* batch may hold every slot that online leaves */
-    double change_share; /* of the servers, changed at one time */
-    int min_ready;       /* never fewer ready servers than this */
+    int long_tokens;      /* from this many tokens a request is long */
+    double long_share;    /* of a server's window, for long requests */
+    double batch_share;   /* of a server's window, at most, for batch */
+    bool batch_fills;     /* batch may hold every slot that online leaves */
+    double change_share;  /* of the servers, changed at one time */
+    int min_ready;        /* never fewer ready servers than this */
     int64_t cache_tokens; /* a server's memory for prompts; 0: not known */
     int *servers;
     int n_servers;
