Record results while items run; forget choices of an old world; keep failures

The new test AServerThatLeavesWhileAnItemAsksIsNotAskedAgain ended the process first. - how often an item failed was known to its runner alone, so the next runner counted from zero. TheNextRunnerKnowsHowOftenAnItemFailed saw 3 runs of 2. - found on the way: commits and checkpoints waited until no item ran, so a killed runner lost what was done. ResultsAreRecordedWhileOtherItemsRun failed before.

Change: choices are made anew in a new world, servers are found by name, the checkpoint holds the failures and follows each, and commits wait for commits only.

--- a/packages/jobs/ask.c
+++ b/packages/jobs/ask.c
@@ -72,6 +72,10 @@
         back_off(work, 0);
         return;
     }
+    if (work->world_number != jobs->world_number) {
+        back_off(work, 0); /* what was tried counts servers of another world */
+        return;
+    }
     if (work->is_queued || work->server == WORLD_NONE) {
         back_off(work, BACK_OFF_MS);
         return;
@@ -95,9 +99,7 @@
     jobs->n_calls--;
     jobs->n_asks--;
     run->n_references--;
-    work->server = jobs->world == NULL
-                       ? WORLD_NONE
-                       : world_find_server(jobs->world, work->server_name);
+    work->server = jobs_work_server(work);
     if (work->server != WORLD_NONE) {
         jobs->place->ops->load(jobs->place, work->server, &ask->load,
                                base_clock_ms());
@@ -170,6 +172,7 @@
     work->place.class_ = CONTRACTS_BATCH;
     work->place.is_idempotent = true;
     work->n_asked = 0;
+    work->world_number = jobs->world_number;
     work->best_busy = WORLD_NONE;
     work->is_queued = false;
     work->state = JOBS_WORK_ASKING;
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -14,6 +14,16 @@
     STATUS_FAILED = 500,
 };
 
+/* The item's server in the world of now; WORLD_NONE: it left. */
+int
+jobs_work_server(const struct jobs_work *work)
+{
+    const struct world *world = work->run->jobs->world;
+
+    return world == NULL ? WORLD_NONE
+                         : world_find_server(world, work->server_name);
+}
+
 /* Gives the item's slot back, with how it went. */
 void
 jobs_work_release(struct jobs_work *work, bool is_servers_fault)
@@ -21,6 +31,7 @@
     struct jobs *jobs = work->run->jobs;
     int64_t n_new = work->events.count - work->first_event;
     int64_t now_us = base_clock_us();
+    int server = jobs_work_server(work);
     struct contracts_outcome outcome = {
         .tokens = (int)MAX(n_new, 0),
         .failed = is_servers_fault,
@@ -32,8 +43,8 @@
             outcome.inter_token_us = (now_us - work->first_us) / (n_new - 1);
         }
     }
-    if (work->server != WORLD_NONE) {
-        jobs->place->ops->outcome(jobs->place, work->server, &outcome,
+    if (server != WORLD_NONE) {
+        jobs->place->ops->outcome(jobs->place, server, &outcome,
                                   base_clock_ms());
     }
     if (work->contract != 0) {
@@ -69,6 +80,7 @@
     struct jobs_run *run = work->run;
 
     work->n_failures++;
+    run->has_failures = true;
     if (work->n_failures >= run->max_attempts) {
         jobs_run_item_done(run, work, false);
         return;
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -195,6 +195,9 @@
     bool has_lost_nodes = jobs->view != NULL && count_working(update->view) <
                                                     count_working(jobs->view);
 
+    if (jobs->world != update->world) {
+        jobs->world_number++;
+    }
     world_unref(jobs->world);
     jobs->world = world_ref(update->world);
     jobs->place->ops->update(jobs->place, jobs->world, base_clock_ms());
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -52,6 +52,7 @@
     /* asking */
     struct place_request place;
     int n_asked;
+    int64_t world_number; /* that the choices below were made in */
     int best_busy;
     double best_load;
     bool is_queued;
@@ -88,6 +89,8 @@
     bool is_over;      /* ended, lost or complete: nothing runs any more */
     int n_references;  /* calls under way */
     int64_t commit_ms; /* not committed before this */
+    int n_writes;      /* of its records, under way */
+    bool has_failures; /* counted since the last checkpoint */
     int64_t checkpoint_ms;
     int64_t checkpoint_events; /* that the last one held */
 };
@@ -110,6 +113,7 @@
     int64_t lease_ms;
     lws_sorted_usec_list_t timer;
     struct world *world;
+    int64_t world_number; /* grows with each change of `world` */
     struct members_view *view;
     GHashTable *runs;       /* id to struct jobs_run, of this node */
     GPtrArray *over;        /* runs to be freed when nothing refers to them */
@@ -199,6 +203,7 @@
 
 void jobs_dispatch(struct jobs *jobs, int64_t now_ms);
 void jobs_work_release(struct jobs_work *work, bool is_servers_fault);
+int jobs_work_server(const struct jobs_work *work);
 void jobs_work_send(struct jobs_work *work);
 void jobs_work_cancel(struct jobs_work *work);
 void jobs_yield(void *task_state, uint64_t contract, int slots);
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -89,8 +89,8 @@
     return run;
 }
 
-/* What had arrived of items before the last runner gave the job away: the
- * number of events and the last one's id on a line, then the text. */
+/* What the last runner knew of items: the number of events, the last one's
+ * id and the failures on a line, then the text that had arrived. */
 void
 jobs_run_take_partials(struct jobs_run *run, const GPtrArray *partials)
 {
@@ -101,12 +101,15 @@
             const struct jobs_item *item = run->job->items->pdata[n];
             struct jobs_events *events = &run->works[n].events;
             char *last_id;
+            char *n_failures;
             if (strcmp(item->id, partial->id) != 0 ||
                 run->works[n].state != JOBS_WORK_WAITING) {
                 continue;
             }
             events->count = g_ascii_strtoll(partial->text, &last_id, 10);
-            events->last_id = g_ascii_strtoll(last_id, NULL, 10);
+            events->last_id = g_ascii_strtoll(last_id, &n_failures, 10);
+            run->works[n].n_failures =
+                (int)g_ascii_strtoll(n_failures, NULL, 10);
             g_string_truncate(events->text, 0);
             g_string_append_len(
                 events->text, text + 1,
@@ -124,16 +127,21 @@
     for (guint i = 0; i < run->job->items->len; i++) {
         const struct jobs_work *work = &run->works[i];
         const struct jobs_item *item = run->job->items->pdata[i];
+        bool may_resume = jobs_events_may_resume(&work->events);
         GString *text;
         if (work->state >= JOBS_WORK_DONE ||
-            !jobs_events_may_resume(&work->events)) {
+            (!may_resume && work->n_failures == 0)) {
             continue;
         }
         text = g_string_new(NULL);
-        g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT "\n",
-                        work->events.count, work->events.last_id);
-        g_string_append_len(text, work->events.text->str,
-                            (gssize)work->events.text->len);
+        g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %d\n",
+                        may_resume ? work->events.count : 0,
+                        may_resume ? work->events.last_id : 0,
+                        work->n_failures);
+        if (may_resume) {
+            g_string_append_len(text, work->events.text->str,
+                                (gssize)work->events.text->len);
+        }
         g_ptr_array_add(partials,
                         jobs_result_new(item->id, true, text->str, text->len));
         g_string_free(text, TRUE);
@@ -325,6 +333,7 @@
     struct jobs_run *run = context;
 
     run->n_references--;
+    run->n_writes--;
     if (run->is_over) {
         return;
     }
@@ -372,6 +381,7 @@
     g_free(head_key);
     run->commit_ms = base_clock_ms() + COMMIT_MS;
     run->n_references++;
+    run->n_writes++;
     jobs_kv(run->jobs, kv, (struct jobs_next){on_committed, run});
 }
 
@@ -430,8 +440,12 @@
     struct jobs_run *run = context;
 
     (void)jobs;
-    (void)kv; /* a hint only: the next one follows, or the job's commit */
     run->n_references--;
+    run->n_writes--;
+    if (kv->status != PLATFORM_OK) {
+        run->has_failures = true; /* written again; arrived text follows */
+        run->commit_ms = base_clock_ms() + RETRY_MS;
+    }
 }
 
 /* Records what has arrived of the items, so that a next runner goes on from
@@ -456,6 +470,7 @@
     g_free(head_key);
     g_free(key);
     run->n_references++;
+    run->n_writes++;
     jobs_kv(run->jobs, kv, (struct jobs_next){on_checkpoint, run});
 }
 
@@ -464,6 +479,10 @@
 {
     int64_t n_events;
 
+    if (run->has_failures) {
+        run->has_failures = false;
+        return true;
+    }
     if (now_ms < run->checkpoint_ms) {
         return false;
     }
@@ -507,7 +526,7 @@
         stop_items(run);
         run->is_releasing = run->n_busy == 0;
     }
-    if (now_ms < run->commit_ms || run->n_references > 0) {
+    if (now_ms < run->commit_ms || run->n_writes > 0) {
         return;
     }
     if (run->is_writing) {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <cstring>
 #include <map>
 #include <mutex>
@@ -38,6 +39,8 @@
     std::map<uint64_t, struct control_ask> held;
     uint64_t next_contract = 1;
     void (*yield)(void *, uint64_t, int) = nullptr;
+    int n_busy = 0; /* so many asks are answered so */
+    std::function<void(const std::string &)> on_ask;
 };
 
 struct fake *fake;
@@ -330,6 +333,18 @@
     std::lock_guard<std::mutex> hold(fake->lock);
 
     ask->answered = answered;
+    if (fake->on_ask) {
+        fake->on_ask(ask->server);
+    }
+    if (fake->n_busy > 0) {
+        fake->n_busy--;
+        ask->answer = CONTRACTS_BUSY;
+        ask->load.window = 8;
+        ask->call.ops = &OPS;
+        ask->call.from = from;
+        base_call_reply(&ask->call);
+        return;
+    }
     ask->answer = CONTRACTS_GRANTED;
     ask->contract = fake->next_contract++;
     fake->yield = ask->yield;
@@ -427,7 +442,7 @@
     {
         fake = &store;
         base_counters_init(&counters);
-        make_world();
+        world = make_world({"e1"});
         make_view();
     }
 
@@ -438,15 +453,15 @@
         base_counters_finish(&counters);
     }
 
-    void
-    make_world()
+    struct world *
+    make_world(const std::vector<std::string> &names)
     {
         struct world_site_split split = {(char *)"s", 1};
         struct world_site_route route = {};
         struct world_site_service service = {(char *)"s", 8, 0};
         struct world_place place = {(char *)"z", (char *)"r"};
-        struct world_registration server = {};
-        const struct world_registration *servers[] = {&server};
+        std::vector<struct world_registration> servers(names.size());
+        std::vector<const struct world_registration *> pointers;
         struct world_site site = {};
 
         route.name = (char *)"jobs";
@@ -458,18 +473,24 @@
         route.max_attempts = 2;
         route.completion_ms = 10000;
         route.max_waiting_tokens = limit;
-        server.id = (char *)"e1";
-        server.service = (char *)"s";
-        server.host = (char *)"127.0.0.1";
-        server.port = engine.port;
-        server.zone = (char *)"z";
-        server.slots = 8;
+        for (size_t i = 0; i < names.size(); i++) {
+            struct world_registration &server = servers[i];
+            server = {};
+            server.id = (char *)names[i].c_str();
+            server.service = (char *)"s";
+            server.host = (char *)"127.0.0.1";
+            server.port = engine.port;
+            server.zone = (char *)"z";
+            server.slots = 8;
+            pointers.push_back(&server);
+        }
         site.number = 1;
         site.services = &service;
         site.n_services = 1;
         site.routes = &route;
         site.n_routes = 1;
-        world = world_of_site(&site, &place, 1, servers, 1);
+        return world_of_site(&site, &place, 1, pointers.data(),
+                             (int)pointers.size());
     }
 
     void
@@ -926,6 +947,96 @@
     EXPECT_TRUE(jobs_is_idle(one.jobs));
 }
 
+/* What an item was asked for in one world means nothing in the next. */
+TEST(Jobs, AServerThatLeavesWhileAnItemAsksIsNotAskedAgain)
+{
+    Site site;
+    struct world *all = site.make_world({"e1", "e2", "e3"});
+    std::set<std::string> unknown;
+    std::set<std::string> gone;
+    std::vector<std::string> asked;
+    Node node(site, "n1");
+
+    site.store.on_ask = [&](const std::string &server) {
+        asked.push_back(server);
+        if (server.size() != 2 || server[0] != 'e') {
+            unknown.insert(server);
+        }
+        if (asked.size() == 2) {
+            struct world *rest = site.make_world({server});
+            jobs_update(node.jobs, rest, site.view);
+            world_unref(rest);
+        }
+        if (asked.size() > 2 && server != asked[1]) {
+            gone.insert(server);
+        }
+    };
+    for (int i = 0; i < 20; i++) {
+        std::string id = "j" + std::to_string(i);
+        jobs_update(node.jobs, all, site.view);
+        {
+            std::lock_guard<std::mutex> hold(site.store.lock);
+            asked.clear();
+            site.store.n_busy = 2;
+        }
+        ASSERT_EQ(node.submit(id.c_str(), "a"), JOBS_OK);
+        EXPECT_EQ(node.wait_for(id.c_str(), 1).size(), 1u);
+    }
+    EXPECT_TRUE(unknown.empty());
+    EXPECT_TRUE(gone.empty());
+    world_unref(all);
+}
+
+TEST(Jobs, ResultsAreRecordedWhileOtherItemsRun)
+{
+    std::atomic<bool> is_over{false};
+    Site site([&](int fd, const std::string &request) {
+        if (test_header(request, "x-id") == "a") {
+            while (!is_over) {
+                test_write(fd, "");
+                g_usleep(1000);
+            }
+            return;
+        }
+        serve(fd, request);
+    });
+    Node node(site, "n1");
+    bool is_recorded = false;
+
+    ASSERT_EQ(node.submit("j", "a b"), JOBS_OK);
+    for (int i = 0; i < 200 && !is_recorded; i++) {
+        g_usleep(10000);
+        std::lock_guard<std::mutex> hold(site.store.lock);
+        auto at = site.store.records.lower_bound(JOBS_RESULTS_PREFIX "j/");
+        is_recorded = at != site.store.records.end() &&
+                      at->first.rfind(JOBS_RESULTS_PREFIX "j/", 0) == 0;
+    }
+    EXPECT_TRUE(is_recorded);
+    is_over = true;
+}
+
+TEST(Jobs, TheNextRunnerKnowsHowOftenAnItemFailed)
+{
+    std::atomic<int> n_runs{0};
+    Site site([&](int fd, const std::string &request) {
+        n_runs++;
+        test_write(fd, "HTTP/1.1 500 Failed\r\nx-id: " +
+                           test_header(request, "x-id") +
+                           "\r\ncontent-length: 0\r\n\r\n");
+    });
+    Node one(site, "n1");
+    Node two(site, "n2");
+
+    ASSERT_EQ(one.submit("j", "a"), JOBS_OK);
+    while (n_runs == 0) {
+        g_usleep(1000);
+    }
+    g_usleep(20000);
+    jobs_drain(one.jobs);
+    EXPECT_EQ(two.wait_for("j", 1), std::vector<std::string>{"a!"});
+    EXPECT_EQ(n_runs, 2);
+}
+
 /* Whichever runner the hash prefers, one that stops takes nothing again. */
 TEST(Jobs, AStoppingRunnerIsNotChosenForTheJobsItGaveAway)
 {
