Take a killed process's jobs when its node is back, not at its lease's end

Change: of several entries of one node only the latest process counts, and that process takes the jobs of the earlier ones; the epoch fences a late one. Test: Jobs.ARestartedNodeTakesItsJobsBeforeTheOldLeaseEnds, 0 of 8 items ran before, 8 of 8 now; 25 of 25 tests of jobs.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -299,20 +299,65 @@
 
 /* ---- looking ---- */
 
-/* Which of the living runners takes a job: the same one for all who look.
- * `living` tells of each whether it is leaving. */
+/* The runner of a node's latest process. */
+struct living {
+    const char *runner;
+    bool is_leaving;
+};
+
+/* The part of a runner's name before its process's start, NODE#START. */
+static char *
+node_of(const char *runner)
+{
+    return g_strndup(runner, strcspn(runner, "#"));
+}
+
+static int64_t
+start_of(const char *runner)
+{
+    const char *start = strchr(runner, '#');
+
+    return start == NULL ? 0 : g_ascii_strtoll(start + 1, NULL, 10);
+}
+
+/* The entry of the runner's node, of this or another process; or NULL. */
+static const struct living *
+find_node(GHashTable *living, const char *runner)
+{
+    char *node = node_of(runner);
+    const struct living *found = g_hash_table_lookup(living, node);
+
+    g_free(node);
+    return found;
+}
+
 static bool
-is_next_runner(const struct jobs *jobs, GHashTable *living, const char *id)
+is_living(GHashTable *living, const char *runner)
 {
-    uint64_t seed = base_hash_text(id, 0);
+    const struct living *found = find_node(living, runner);
+
+    return found != NULL && strcmp(found->runner, runner) == 0;
+}
+
+/* Which of the living runners takes a job whose runner is gone, the same one
+ * for all who look: that node's next process, or else one by hash. */
+static bool
+is_next_runner(const struct jobs *jobs, GHashTable *living,
+               const struct jobs_head *head)
+{
+    const struct living *successor = find_node(living, head->runner);
+    uint64_t seed = base_hash_text(head->id, 0);
     uint64_t own = base_hash_text(jobs->runner, seed);
     GHashTableIter iter;
-    gpointer key;
-    gpointer is_leaving;
+    gpointer value;
 
+    if (successor != NULL && !successor->is_leaving) {
+        return strcmp(successor->runner, jobs->runner) == 0;
+    }
     g_hash_table_iter_init(&iter, living);
-    while (g_hash_table_iter_next(&iter, &key, &is_leaving)) {
-        if (!GPOINTER_TO_INT(is_leaving) && base_hash_text(key, seed) > own) {
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct living *at = value;
+        if (!at->is_leaving && base_hash_text(at->runner, seed) > own) {
             return false;
         }
     }
@@ -337,8 +382,8 @@
         adopt_job(jobs, head, revision);
         return 1;
     }
-    if (!g_hash_table_contains(living, head->runner) &&
-        is_next_runner(jobs, living, head->id)) {
+    if (!is_living(living, head->runner) &&
+        is_next_runner(jobs, living, head)) {
         claim_job(jobs, head, revision);
         return 1;
     }
@@ -355,16 +400,35 @@
            memcmp(state, JOBS_RUNNER_LEAVING, size) == 0;
 }
 
+/* A killed process's entry stays until its lease ends; the entry of the next
+ * process on its node tells before that that it is gone. */
+static void
+add_living(GHashTable *living, const struct platform_entry *entry)
+{
+    const char *runner = entry->key + strlen(JOBS_NODE_PREFIX);
+    const struct living *known = find_node(living, runner);
+    struct living *own;
+
+    if (known != NULL && start_of(known->runner) > start_of(runner)) {
+        return;
+    }
+    own = g_new0(struct living, 1);
+    own->runner = runner;
+    own->is_leaving = says_leaving(entry);
+    g_hash_table_replace(living, node_of(runner), own);
+}
+
+/* The runners that the store lists, by node; valid as long as `kv` is. */
 static GHashTable *
 find_living(const struct platform_kv *kv)
 {
-    GHashTable *living = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *living =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         if (g_str_has_prefix(entry->key, JOBS_NODE_PREFIX)) {
-            g_hash_table_insert(living, entry->key + strlen(JOBS_NODE_PREFIX),
-                                GINT_TO_POINTER(says_leaving(entry)));
+            add_living(living, entry);
         }
     }
     return living;
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -740,6 +740,37 @@
     EXPECT_EQ(resumed, "80");
 }
 
+/* The store still lists the runner of a process that was killed. */
+TEST(Jobs, ARestartedNodeTakesItsJobsBeforeTheOldLeaseEnds)
+{
+    std::atomic<bool> is_stuck{true};
+    std::atomic<int> n_runs{0};
+    Site site([&](int fd, const std::string &request) {
+        if (is_stuck) {
+            test_write(fd, head(request) + chunk(event(1)));
+            test_wait_for_close(fd);
+            return;
+        }
+        n_runs++;
+        serve(fd, request);
+    });
+    auto one = std::make_unique<Node>(site, "n1");
+    Node two(site, "n2");
+
+    for (int i = 0; i < 8; i++) {
+        ASSERT_EQ(one->submit(("j" + std::to_string(i)).c_str(), "a"),
+                  JOBS_OK);
+    }
+    one->stop();
+    is_stuck = false;
+    one = std::make_unique<Node>(site, "n1");
+    for (int i = 0; i < 8; i++) {
+        std::string id = "j" + std::to_string(i);
+        EXPECT_EQ(two.wait_for(id.c_str(), 1).size(), 1u) << id;
+    }
+    EXPECT_EQ(n_runs, 8);
+}
+
 TEST(Jobs, ANodeThatLostItsJobListsNothingAnyMore)
 {
     std::atomic<bool> is_held{true};
