Queue a request only at a keeper that answers

A server whose keeper can't be asked looked least loaded, for no load is known of it; the request queued there, and the answer was busy at once. Change: such a server is left out of the choice of a queue, for requests and items of jobs. Test: Ingress.ARequestQueuesAtAKeeperThatAnswers, 503 before, 200 now, and 503 still when no keeper can be asked.

--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -69,7 +69,7 @@
 static enum contracts_answer
 why_none(const struct attempt *attempt)
 {
-    if (attempt->best_busy != WORLD_NONE) {
+    if (attempt->best_busy != WORLD_NONE || attempt->was_busy) {
         return CONTRACTS_BUSY;
     }
     return attempt->was_refused ? CONTRACTS_REFUSED : CONTRACTS_GONE;
@@ -126,6 +126,18 @@
     note_tried(&attempt->place, attempt->server);
 }
 
+/* Goes on without the server that was asked. */
+static void
+leave_server(struct attempt *attempt)
+{
+    note_tried(&attempt->place, attempt->server);
+    if (attempt->best_busy == attempt->server) {
+        attempt->best_busy = WORLD_NONE;
+    }
+    attempt->is_queued = false;
+    ask_next(attempt);
+}
+
 static void
 release_unused(struct front *front, const struct control_ask *ask)
 {
@@ -152,6 +164,12 @@
         send_request(attempt);
         return;
     case CONTRACTS_BUSY:
+        if (ask->is_local_share) {
+            /* Its keeper can't be asked, so nothing queues there. */
+            attempt->was_busy = true;
+            leave_server(attempt);
+            return;
+        }
         if (attempt->is_queued) {
             exchange_no_contract(attempt->exchange, attempt, ask->answer);
             return;
@@ -160,12 +178,7 @@
         ask_next(attempt);
         return;
     case CONTRACTS_GONE:
-        note_tried(&attempt->place, attempt->server);
-        if (attempt->best_busy == attempt->server) {
-            attempt->best_busy = WORLD_NONE;
-        }
-        attempt->is_queued = false;
-        ask_next(attempt);
+        leave_server(attempt);
         return;
     case CONTRACTS_REFUSED:
         /* This server has no room for this operator; another may have. */
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -39,6 +39,7 @@
     int n_asked;
     int best_busy;    /* the least loaded server that was busy */
     bool was_refused; /* a server had no room for the operator */
+    bool was_busy;    /* a server whose keeper can't be asked had none */
     double best_load;
     bool is_queued;
     struct base_span ask_span;
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -399,6 +399,20 @@
     close(fd);
 }
 
+/* A keeper that can't be asked can't queue a request either. */
+TEST_F(Ingress, ARequestQueuesAtAKeeperThatAnswers)
+{
+    struct test_server engine(stream);
+    begin({&engine, &engine});
+    for (const char *unreached : {"e1", "e2"}) {
+        fakes.unreached = {unreached};
+        fakes.is_busy = true;
+        EXPECT_EQ(ask(post("/a/x", "b")).status, 200) << unreached;
+    }
+    fakes.unreached = {"e1", "e2"};
+    EXPECT_EQ(ask(post("/a/x", "b")).status, 503);
+}
+
 TEST_F(Ingress, AStoppingNodeTakesNoLateRequests)
 {
     struct test_server engine(stream);
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -42,7 +42,11 @@
 answer_ask(struct control_ask *ask)
 {
     ask->answer = CONTRACTS_GRANTED;
-    if (!fakes.answers.empty()) {
+    ask->is_local_share = fakes.unreached.count(ask->server) > 0;
+    if (ask->is_local_share || (fakes.is_busy && ask->wait_ms == 0)) {
+        ask->answer = CONTRACTS_BUSY;
+    }
+    else if (!fakes.answers.empty()) {
         ask->answer = fakes.answers.front();
         fakes.answers.pop_front();
     }
@@ -51,7 +55,10 @@
         fakes.held[ask->contract] = ask->server;
     }
     ask->reduction = fakes.reduction;
-    ask->load.window = 16;
+    if (!ask->is_local_share) {
+        ask->load.window = 16;
+        ask->load.online = fakes.is_busy ? 16 : 0;
+    }
     base_call_reply(&ask->call);
 }
 
@@ -286,6 +293,8 @@
 {
     std::lock_guard<std::mutex> hold(fakes.lock);
     fakes.answers.clear();
+    fakes.unreached.clear();
+    fakes.is_busy = false;
     fakes.reduction = {};
     fakes.asks.clear();
     fakes.held.clear();
--- a/packages/front/test_support.h
+++ b/packages/front/test_support.h
@@ -30,6 +30,10 @@
     std::mutex lock;
     /* contracts */
     std::deque<enum contracts_answer> answers; /* then all are granted */
+    /* Servers whose keepers are out of reach, with no share left here. */
+    std::set<std::string> unreached;
+    /* All others are busy for asks that don't wait. */
+    bool is_busy = false;
     struct contracts_reduction reduction;
     std::vector<struct fake_ask> asks;
     uint64_t next_contract = 1;
--- a/packages/jobs/ask.c
+++ b/packages/jobs/ask.c
@@ -80,7 +80,7 @@
         back_off(work, BACK_OFF_MS);
         return;
     }
-    if (ask->answer == CONTRACTS_BUSY) {
+    if (ask->answer == CONTRACTS_BUSY && !ask->is_local_share) {
         note_busy(work, ask);
     }
     else {
