Tell askers of the slots that a rebuilding table grants

A table that is being rebuilt grants a quarter of the slots but told of all of them, so it looked like the place with the shortest queue. Change: it tells of what it holds and may still grant. Test: Keeper.ARebuildingTableTellsOfTheSlotsThatItGrants, 8 for 2 before.

--- a/packages/contracts/keeper.c
+++ b/packages/contracts/keeper.c
@@ -50,14 +50,29 @@
     return queue_eligible(&keeper->queue, keeper_long_room(keeper));
 }
 
+/* The most that may run now: of a table that is being rebuilt, what it holds
+ * and its share of the rest. */
+static int
+shown_window(const struct contracts_keeper *keeper)
+{
+    int held = keeper_online(keeper) + keeper->held[CONTRACTS_BATCH];
+
+    if (stall_is_long(&keeper->stall)) {
+        return 1;
+    }
+    if (keeper->rebuild_until_ms != 0) {
+        return MAX(held + keeper_free(keeper), 1);
+    }
+    return window_size(&keeper->window);
+}
+
 /* What askers are told of the server. */
 void
 contracts_keeper_load(const struct contracts_keeper *keeper,
                       struct contracts_load *load)
 {
     memset(load, 0, sizeof(*load));
-    load->window =
-        stall_is_long(&keeper->stall) ? 1 : window_size(&keeper->window);
+    load->window = shown_window(keeper);
     load->online = keeper_online(keeper);
     load->batch = keeper->held[CONTRACTS_BATCH];
     load->queued = queue_count(&keeper->queue);
--- a/packages/contracts/test_keeper.cc
+++ b/packages/contracts/test_keeper.cc
@@ -440,6 +440,27 @@
     EXPECT_EQ(table.load().window, 8) << "an old report counts no more";
 }
 
+/* Or else all would queue where the fewest are served. */
+TEST(Keeper, ARebuildingTableTellsOfTheSlotsThatItGrants)
+{
+    struct contracts_keeper_desc desc = make_desc(8);
+    desc.is_rebuilding = true;
+    Table table(desc);
+
+    EXPECT_EQ(table.load().window, 2);
+    auto first = table.ask(make_ask(1, CONTRACTS_ONLINE_SHORT, 0, 0), 10);
+    EXPECT_EQ(table.load().window, 2);
+    contracts_keeper_report(table.keeper, "n2", 77, CONTRACTS_ONLINE_SHORT, 1,
+                            20, table.events);
+    EXPECT_EQ(table.load().window, 3);
+    table.ask(make_ask(2, CONTRACTS_ONLINE_SHORT, 0, 0), 30);
+    EXPECT_EQ(table.load().window, 3);
+    table.shrink(first[0].contract, 0, 40);
+    EXPECT_EQ(table.load().window, 3);
+    contracts_keeper_rebuilt(table.keeper);
+    EXPECT_EQ(table.load().window, 8);
+}
+
 TEST(Keeper, BatchAsksAreServedByWhenTheyAreDueAndYieldInReverse)
 {
     struct contracts_keeper_desc desc = make_desc(2);
