Grant all slots of a server that just came

Nobody could hold anything of it. Change: the table of a server that the last world did not have is whole from the start. A node that is not ready yet hears of old servers one by one, so there all tables stay cautious. Test: Control.ANewServersKeeperGrantsAllIts SlotsAtOnce, 4 of 16 granted before, 16 of 16 now; 18 of 18 tests of control.

--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -98,6 +98,7 @@
 
 struct control_keep {
     GHashTable *servers;   /* name to struct control_kept */
+    GHashTable *known;     /* names of the last world's servers; NULL: none */
     GHashTable *asks;      /* hash of holder and ask to struct kept_ask */
     GHashTable *granted;   /* hash of server and number to struct grant */
     GHashTable *handovers; /* server to struct handover, not yet kept */
--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -61,6 +61,9 @@
     g_hash_table_destroy(keep->asks);
     g_hash_table_destroy(keep->granted);
     g_hash_table_destroy(keep->servers);
+    if (keep->known != NULL) {
+        g_hash_table_destroy(keep->known);
+    }
     g_array_free(keep->events, TRUE);
 }
 
@@ -301,6 +304,34 @@
     g_ptr_array_free(moved, TRUE);
 }
 
+/* Whether contracts of a server may be held that this node doesn't know of.
+ * Nobody had any to give of a server that just came. */
+static bool
+may_be_held(const struct control *control, const char *server)
+{
+    return control->keep.known == NULL ||
+           g_hash_table_contains(control->keep.known, server);
+}
+
+static void
+remember_servers(struct control *control)
+{
+    GHashTable *known;
+
+    /* A starting node hears of old servers one after the other. */
+    if (control->world == NULL || g_atomic_int_get(&control->is_ready) == 0) {
+        return;
+    }
+    known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int i = 0; i < control->world->n_servers; i++) {
+        g_hash_table_add(known, g_strdup(control->world->servers[i].name));
+    }
+    if (control->keep.known != NULL) {
+        g_hash_table_destroy(control->keep.known);
+    }
+    control->keep.known = known;
+}
+
 /* Follows a change of the configuration or of the membership: which servers
  * this node keeps, with which settings. */
 void
@@ -330,7 +361,9 @@
         kept = g_hash_table_lookup(control->keep.servers,
                                    control->world->servers[i].name);
         if (kept == NULL) {
-            start_keeping(control, i, true);
+            start_keeping(
+                control, i,
+                may_be_held(control, control->world->servers[i].name));
         }
         else {
             struct contracts_keeper_desc desc = describe(control, i, false);
@@ -338,6 +371,7 @@
             follow_leaving(control, kept, i);
         }
     }
+    remember_servers(control);
 }
 
 /* ---- asks ---- */
--- a/packages/control/spread.c
+++ b/packages/control/spread.c
@@ -371,6 +371,7 @@
     }
     if (g_atomic_int_get(&control->is_ready) == 0 && is_settled(control)) {
         g_atomic_int_set(&control->is_ready, 1);
+        control->is_changed = true;
         base_log(BASE_LOG_NOTICE, "control.ready",
                  "revision=%" G_GINT64_FORMAT, spread->number);
     }
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -323,6 +323,26 @@
     }));
 }
 
+TEST(Control, ANewServersKeeperGrantsAllItsSlotsAtOnce)
+{
+    const int n_slots = 16;
+    Fleet fleet(2);
+    ASSERT_TRUE(fleet.see_each_other());
+    ASSERT_TRUE(fleet.put_in_force(1, document(8)));
+    ASSERT_TRUE(each_is_kept_once(fleet, 8));
+    ASSERT_TRUE(fleet.task.until([&] {
+        return control_is_ready(fleet.at(0)) && control_is_ready(fleet.at(1));
+    }));
+    ASSERT_TRUE(fleet.put_in_force(2, document(9)));
+    ASSERT_TRUE(each_is_kept_once(fleet, 9));
+    for (int i = 0; i < n_slots; i++) {
+        struct control_ask *ask =
+            fleet.task.ask(fleet.at(0), "e8", CONTRACTS_ONLINE_SHORT);
+        EXPECT_EQ(ask->answer, CONTRACTS_GRANTED) << i;
+        EXPECT_FALSE(ask->is_local_share) << i;
+    }
+}
+
 TEST(Control, NewKeeperHearsWhatIsHeld)
 {
     Fleet fleet(3);
