--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -11,6 +11,7 @@
  *   audit.c    what is asked of holders of old contracts
  *   handover.c tables that move from one keeper to the next
  *   hold.c     asks, and the contracts that this node holds
+ *   reach.c    keepers that do not answer
  *   release.c  contracts given back
  *   yield.c    slots that keepers want back
  *   report.c   what holders tell new keepers
@@ -127,7 +128,7 @@
 struct control_hold {
     struct base_table held;   /* of struct control_held */
     GHashTable *by_contract;  /* hash of server and number to handle */
-    GHashTable *out_of_reach; /* keeper to when it is tried again */
+    GHashTable *out_of_reach; /* keeper to its probes, see reach.c */
     GQueue *recent;           /* of struct recent_release */
     GHashTable *local_shares; /* server name to count in use */
     GHashTable *asks;         /* ask number to struct control_pending_ask */
@@ -247,6 +248,11 @@
 bool control_is_self(struct control *control, int node);
 void control_world_changed(struct control *control, struct world *world);
 
+/* reach.c */
+void control_note_reach(struct control *control, const char *keeper,
+                        bool is_reached);
+bool control_is_out_of_reach(struct control *control, const char *keeper);
+
 /* route.c */
 void control_receive(void *context, const struct wire_message *message);
 const char *control_kind_name(uint32_t kind);
--- a/packages/control/hold.c
+++ b/packages/control/hold.c
@@ -4,8 +4,7 @@
 
 enum {
     ASK_SLACK_MS = 1000, /* beyond the time that the keeper may queue */
-    OUT_OF_REACH_MS = 1000,
-    MAX_MOVES = 3, /* times that an ask follows a changed keeper */
+    MAX_MOVES = 3,       /* times that an ask follows a changed keeper */
 };
 
 /* An ask on its way. */
@@ -39,7 +38,7 @@
     hold->local_shares =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     hold->out_of_reach =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     hold->recent = g_queue_new();
     hold->asks =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_pending);
@@ -154,41 +153,6 @@
                         GINT_TO_POINTER(in_use));
 }
 
-/* ---- keepers out of reach ---- */
-
-/* Whether a keeper failed to answer a moment ago.  Then only one ask at a time
- * tries again; the others need not wait for its silence. */
-static bool
-is_out_of_reach(struct control *control, const char *keeper)
-{
-    int64_t *until_ms =
-        g_hash_table_lookup(control->hold.out_of_reach, keeper);
-
-    if (until_ms == NULL) {
-        return false;
-    }
-    if (control->now_ms < *until_ms) {
-        return true;
-    }
-    *until_ms = control->now_ms + OUT_OF_REACH_MS;
-    return false;
-}
-
-static void
-note_reach(struct control *control, const char *keeper, bool is_reached)
-{
-    int64_t *until_ms;
-
-    if (is_reached) {
-        g_hash_table_remove(control->hold.out_of_reach, keeper);
-        return;
-    }
-    until_ms = g_new(int64_t, 1);
-    *until_ms = control->now_ms + OUT_OF_REACH_MS;
-    g_hash_table_insert(control->hold.out_of_reach, g_strdup(keeper),
-                        until_ms);
-}
-
 /* ---- answers ---- */
 
 static void
@@ -365,7 +329,8 @@
     Control__Answer *answer = NULL;
 
     pending->request = 0;
-    note_reach(pending->control, pending->keeper, reply->code == BASE_OK);
+    control_note_reach(pending->control, pending->keeper,
+                       reply->code == BASE_OK);
     if (reply->code == BASE_OK && reply->kind == CONTROL_ANSWER) {
         answer = control__answer__unpack(NULL, reply->size, reply->body);
     }
@@ -464,7 +429,7 @@
         control_keep_ask(control, control->node, &message, NULL);
         return;
     }
-    if (is_out_of_reach(control, pending->keeper)) {
+    if (control_is_out_of_reach(control, pending->keeper)) {
         answer_locally(pending);
         return;
     }
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -323,6 +323,38 @@
     }));
 }
 
+/* A caller's ask is no probe: it would wait out the silence. */
+TEST(Control, AfterAKeepersSilenceNoAskIsSentUntilItAnswersAgain)
+{
+    const char *sent = "wire_bytes_total{dir=\"out\",kind=\"ask\"}";
+    Fleet fleet(2);
+    ASSERT_TRUE(fleet.see_each_other());
+    ASSERT_TRUE(fleet.put_in_force(1, document(8)));
+    ASSERT_TRUE(each_is_kept_once(fleet, 8));
+    std::string server;
+    for (auto &entry : kept_by(fleet)) {
+        server = entry.second[0] == 1 ? entry.first : server;
+    }
+    ASSERT_FALSE(server.empty());
+    auto ask = [&] {
+        struct control_ask *asked =
+            fleet.task.ask(fleet.at(0), server.c_str(), CONTRACTS_ONLINE_SHORT);
+        control_release(fleet.at(0), asked->contract, nullptr);
+        return asked->is_local_share;
+    };
+    Pause pause;
+    pause.begin(fleet.at(1));
+    ASSERT_TRUE(ask());
+    int64_t before = fleet.nodes[0]->count(sent);
+    for (int i = 0; i < 4; i++) {
+        EXPECT_TRUE(ask());
+        g_usleep(400000);
+    }
+    EXPECT_EQ(fleet.nodes[0]->count(sent), before);
+    pause.end();
+    EXPECT_TRUE(fleet.task.until([&] { return !ask(); }));
+}
+
 TEST(Control, ANewServersKeeperGrantsAllItsSlotsAtOnce)
 {
     const int n_slots = 16;
