Ask all holders about new tables, and end their caution then

Tables that begin without a handover granted a quarter of the slots, and none to batch, for two seconds, though what is held had been told within some ms: nothing told the keeper that it had heard all. Change: a keeper asks every node in its view what it holds of its new tables' servers (recall.c, kinds recall and recalled); when all have answered, or left the view, the tables are whole. A silent node leaves the two seconds. A node that is not ready, or knows no other, asks nobody. Test: Control.ANewKeepersTableIsWholeWhenAllHaveAnswered, failed without the questions; 20 of 20 tests of control.

--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -12,6 +12,7 @@
  *   handover.c tables that move from one keeper to the next
  *   hold.c     asks, and the contracts that this node holds
  *   reach.c    keepers that do not answer
+ *   recall.c   what a new table asks of all holders
  *   release.c  contracts given back
  *   yield.c    slots that keepers want back
  *   report.c   what holders tell new keepers
@@ -48,6 +49,8 @@
     CONTROL_RATE_ASK,
     CONTROL_RATE_ANSWER,
     CONTROL_HANDOVER,
+    CONTROL_RECALL,
+    CONTROL_RECALLED,
     CONTROL_N_KINDS,
 };
 
@@ -83,7 +86,9 @@
 struct control_kept {
     char server[CONTROL_SERVER_SIZE];
     struct contracts_keeper *keeper;
-    bool is_leaving; /* as the table was told */
+    bool is_leaving;             /* as the table was told */
+    bool is_whole;               /* or its holders are being asked, by: */
+    const struct recall *recall; /* see recall.c; NULL: none */
 };
 
 /* A contract that this node granted or took over. */
@@ -104,9 +109,11 @@
     GHashTable *granted;   /* hash of server and number to struct grant */
     GHashTable *handovers; /* server to struct handover, not yet kept */
     GArray *events;        /* scratch, of struct contracts_event */
+    GPtrArray *recalls;    /* of struct recall, under way */
     int64_t next_sweep_ms;
     struct base_counter *asks_counter;
     struct base_counter *strangers_counter;
+    struct base_counter *recalled_counter;
 };
 
 /* ---- hold.c ---- */
@@ -253,6 +260,14 @@
                         bool is_reached);
 bool control_is_out_of_reach(struct control *control, const char *keeper);
 
+/* recall.c */
+void control_recall_init(struct control *control);
+void control_recall_finish(struct control *control);
+void control_recall_begin(struct control *control);
+void control_recall_tick(struct control *control);
+bool control_recall_take(struct control *control,
+                         const struct wire_message *message);
+
 /* route.c */
 void control_receive(void *context, const struct wire_message *message);
 const char *control_kind_name(uint32_t kind);
--- a/packages/control/handover.c
+++ b/packages/control/handover.c
@@ -168,6 +168,7 @@
                            holder->held);
     }
     contracts_keeper_rebuilt(kept->keeper);
+    kept->is_whole = true;
     free_handover(handover);
 }
 
--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -44,6 +44,7 @@
     keep->granted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control_handover_init(control);
+    control_recall_init(control);
     keep->events = g_array_new(FALSE, TRUE, sizeof(struct contracts_event));
     keep->asks_counter =
         base_counter(control->counters, "control_kept_asks_total");
@@ -58,6 +59,7 @@
     struct control_keep *keep = &control->keep;
 
     control_handover_finish(control);
+    control_recall_finish(control);
     g_hash_table_destroy(keep->asks);
     g_hash_table_destroy(keep->granted);
     g_hash_table_destroy(keep->servers);
@@ -243,6 +245,7 @@
     g_strlcpy(kept->server, control->world->servers[server].name,
               sizeof(kept->server));
     kept->keeper = contracts_keeper_new(&desc);
+    kept->is_whole = !is_rebuilding;
     g_hash_table_insert(control->keep.servers, kept->server, kept);
     base_log(BASE_LOG_INFO, "keeper.began",
              "server=%s slots=%d nodes=%d cautious=%d", kept->server,
@@ -372,6 +375,7 @@
         }
     }
     remember_servers(control);
+    control_recall_begin(control);
 }
 
 /* ---- asks ---- */
@@ -640,6 +644,7 @@
 {
     GList *all = g_hash_table_get_values(control->keep.servers);
 
+    control_recall_tick(control);
     for (GList *at = all; at != NULL; at = at->next) {
         struct control_kept *kept = at->data;
         contracts_keeper_tick(kept->keeper, control->now_ms,
--- a/packages/control/route.c
+++ b/packages/control/route.c
@@ -7,9 +7,10 @@
 control_kind_name(uint32_t kind)
 {
     static const char *const NAMES[] = {
-        "gossip", "ask",      "answer",      "release",  "cancel",
-        "yield",  "report",   "audit",       "news",     "record_pull",
-        "record", "rate_ask", "rate_answer", "handover",
+        "gossip",      "ask",         "answer", "release",
+        "cancel",      "yield",       "report", "audit",
+        "news",        "record_pull", "record", "rate_ask",
+        "rate_answer", "handover",    "recall", "recalled",
     };
 
     G_STATIC_ASSERT(G_N_ELEMENTS(NAMES) == CONTROL_N_KINDS - WIRE_FIRST_KIND);
@@ -208,6 +209,7 @@
         [CONTROL_RECORD_PULL] = take_record_pull,
         [CONTROL_RATE_ASK] = take_rate_ask,
         [CONTROL_HANDOVER] = control_handover_take,
+        [CONTROL_RECALL] = control_recall_take,
     };
     struct control *control = context;
     bool is_known = message->kind < CONTROL_N_KINDS &&
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -411,6 +411,46 @@
     }));
 }
 
+/* Without a handover the new keeper asks for what is held, and need not be
+ * cautious once all have answered. */
+TEST(Control, ANewKeepersTableIsWholeWhenAllHaveAnswered)
+{
+    const char *whole = "control_tables_recalled_total";
+    Fleet fleet(3);
+    ASSERT_TRUE(fleet.see_each_other());
+    ASSERT_TRUE(fleet.put_in_force(1, document(6)));
+    ASSERT_TRUE(each_is_kept_once(fleet, 6));
+    std::string server;
+    for (auto &entry : kept_by(fleet)) {
+        server = entry.second[0] == 2 ? entry.first : server;
+    }
+    ASSERT_FALSE(server.empty());
+    for (int i = 0; i < 3; i++) {
+        ASSERT_EQ(fleet.task
+                      .ask(fleet.at(0), server.c_str(), CONTRACTS_ONLINE_SHORT)
+                      ->answer,
+                  CONTRACTS_GRANTED);
+    }
+    /* The tables of the start are whole. */
+    ASSERT_TRUE(fleet.task.until([&] {
+        int64_t sum = 0;
+        for (auto &node : fleet.nodes) {
+            sum += node->count(whole);
+        }
+        return sum >= 6;
+    }));
+    int64_t before[] = {fleet.nodes[0]->count(whole),
+                        fleet.nodes[1]->count(whole)};
+    fleet.nodes.pop_back();
+    ASSERT_TRUE(each_is_kept_once(fleet, 6));
+    size_t keeper = kept_by(fleet)[server][0];
+    EXPECT_TRUE(fleet.task.until(
+        [&] { return fleet.nodes[keeper]->count(whole) > before[keeper]; }));
+    std::string status = fleet.task.read_status(fleet.at(keeper));
+    size_t at = status.find("\"name\":\"" + server + "\"");
+    EXPECT_LT(status.find("\"online\":3", at), status.find('}', at));
+}
+
 TEST(Control, HandoverMakesTheNextKeeperWholeAtOnce)
 {
     Fleet fleet(2);
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &control__news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__recall__init
+                     (Control__Recall         *message)
+{
+  static const Control__Recall init_value = CONTROL__RECALL__INIT;
+  *message = init_value;
+}
+size_t control__recall__get_packed_size
+                     (const Control__Recall *message)
+{
+  assert(message->base.descriptor == &control__recall__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__recall__pack
+                     (const Control__Recall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__recall__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__recall__pack_to_buffer
+                     (const Control__Recall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__recall__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__Recall *
+       control__recall__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__Recall *)
+     protobuf_c_message_unpack (&control__recall__descriptor,
+                                allocator, len, data);
+}
+void   control__recall__free_unpacked
+                     (Control__Recall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__recall__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   control__recalled__init
+                     (Control__Recalled         *message)
+{
+  static const Control__Recalled init_value = CONTROL__RECALLED__INIT;
+  *message = init_value;
+}
+size_t control__recalled__get_packed_size
+                     (const Control__Recalled *message)
+{
+  assert(message->base.descriptor == &control__recalled__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__recalled__pack
+                     (const Control__Recalled *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__recalled__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__recalled__pack_to_buffer
+                     (const Control__Recalled *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__recalled__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__Recalled *
+       control__recalled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__Recalled *)
+     protobuf_c_message_unpack (&control__recalled__descriptor,
+                                allocator, len, data);
+}
+void   control__recalled__free_unpacked
+                     (Control__Recalled *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__recalled__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__record_pull__init
                      (Control__RecordPull         *message)
 {
@@ -2443,6 +2533,82 @@
   (ProtobufCMessageInit) control__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor control__recall__field_descriptors[1] =
+{
+  {
+    "servers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Control__Recall, n_servers),
+    offsetof(Control__Recall, servers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__recall__field_indices_by_name[] = {
+  0,   /* field[0] = servers */
+};
+static const ProtobufCIntRange control__recall__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor control__recall__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.Recall",
+  "Recall",
+  "Control__Recall",
+  "control",
+  sizeof(Control__Recall),
+  1,
+  control__recall__field_descriptors,
+  control__recall__field_indices_by_name,
+  1,  control__recall__number_ranges,
+  (ProtobufCMessageInit) control__recall__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__recalled__field_descriptors[1] =
+{
+  {
+    "reports",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__Recalled, n_reports),
+    offsetof(Control__Recalled, reports),
+    &control__report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__recalled__field_indices_by_name[] = {
+  0,   /* field[0] = reports */
+};
+static const ProtobufCIntRange control__recalled__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor control__recalled__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.Recalled",
+  "Recalled",
+  "Control__Recalled",
+  "control",
+  sizeof(Control__Recalled),
+  1,
+  control__recalled__field_descriptors,
+  control__recalled__field_indices_by_name,
+  1,  control__recalled__number_ranges,
+  (ProtobufCMessageInit) control__recalled__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor control__record_pull__field_descriptors[1] =
 {
   {
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -32,6 +32,8 @@
 typedef struct Control__Leaving Control__Leaving;
 typedef struct Control__Registration Control__Registration;
 typedef struct Control__News Control__News;
+typedef struct Control__Recall Control__Recall;
+typedef struct Control__Recalled Control__Recalled;
 typedef struct Control__RecordPull Control__RecordPull;
 typedef struct Control__Record Control__Record;
 typedef struct Control__RateAsk Control__RateAsk;
@@ -330,6 +332,31 @@
     , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
+/*
+ * Asks for what the node holds of some servers, whose tables are new. 
+ */
+struct  Control__Recall
+{
+  ProtobufCMessage base;
+  size_t n_servers;
+  char **servers;
+};
+#define CONTROL__RECALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__recall__descriptor) \
+    , 0,NULL }
+
+
+struct  Control__Recalled
+{
+  ProtobufCMessage base;
+  size_t n_reports;
+  Control__Report **reports;
+};
+#define CONTROL__RECALLED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__recalled__descriptor) \
+    , 0,NULL }
+
+
 struct  Control__RecordPull
 {
   ProtobufCMessage base;
@@ -702,6 +729,44 @@
 void   control__news__free_unpacked
                      (Control__News *message,
                       ProtobufCAllocator *allocator);
+/* Control__Recall methods */
+void   control__recall__init
+                     (Control__Recall         *message);
+size_t control__recall__get_packed_size
+                     (const Control__Recall   *message);
+size_t control__recall__pack
+                     (const Control__Recall   *message,
+                      uint8_t             *out);
+size_t control__recall__pack_to_buffer
+                     (const Control__Recall   *message,
+                      ProtobufCBuffer     *buffer);
+Control__Recall *
+       control__recall__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__recall__free_unpacked
+                     (Control__Recall *message,
+                      ProtobufCAllocator *allocator);
+/* Control__Recalled methods */
+void   control__recalled__init
+                     (Control__Recalled         *message);
+size_t control__recalled__get_packed_size
+                     (const Control__Recalled   *message);
+size_t control__recalled__pack
+                     (const Control__Recalled   *message,
+                      uint8_t             *out);
+size_t control__recalled__pack_to_buffer
+                     (const Control__Recalled   *message,
+                      ProtobufCBuffer     *buffer);
+Control__Recalled *
+       control__recalled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__recalled__free_unpacked
+                     (Control__Recalled *message,
+                      ProtobufCAllocator *allocator);
 /* Control__RecordPull methods */
 void   control__record_pull__init
                      (Control__RecordPull         *message);
@@ -831,6 +896,12 @@
 typedef void (*Control__News_Closure)
                  (const Control__News *message,
                   void *closure_data);
+typedef void (*Control__Recall_Closure)
+                 (const Control__Recall *message,
+                  void *closure_data);
+typedef void (*Control__Recalled_Closure)
+                 (const Control__Recalled *message,
+                  void *closure_data);
 typedef void (*Control__RecordPull_Closure)
                  (const Control__RecordPull *message,
                   void *closure_data);
@@ -866,6 +937,8 @@
 extern const ProtobufCMessageDescriptor control__leaving__descriptor;
 extern const ProtobufCMessageDescriptor control__registration__descriptor;
 extern const ProtobufCMessageDescriptor control__news__descriptor;
+extern const ProtobufCMessageDescriptor control__recall__descriptor;
+extern const ProtobufCMessageDescriptor control__recalled__descriptor;
 extern const ProtobufCMessageDescriptor control__record_pull__descriptor;
 extern const ProtobufCMessageDescriptor control__record__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_ask__descriptor;
