Look again soon at a job whose runner is going

The next runner looks at all jobs each 2 to 3 s, and once when the members lose a node, which is before the job is free. Change: while a job's runner is leaving, or its node is lost, the one node that takes the job next looks again each 300 ms.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -8,7 +8,8 @@
     SCAN_MS = 2000,      /* between looks at all heads, with jobs here */
     IDLE_SCAN_MS = 3000, /* and without: the lease of one that is gone */
     SCAN_RETRY_MS = 500,
-    SOON_MS = 200, /* after a sign that a look is worth it */
+    SOON_MS = 200,  /* after a sign that a look is worth it */
+    AGAIN_MS = 300, /* between looks at a job that comes free soon */
     CLAIMS_AT_ONCE = 16,
 };
 
@@ -351,19 +352,39 @@
     GHashTableIter iter;
     gpointer value;
 
-    if (successor != NULL && !successor->is_leaving) {
+    if (successor != NULL && !successor->is_leaving &&
+        strcmp(successor->runner, head->runner) != 0) {
         return strcmp(successor->runner, jobs->runner) == 0;
     }
     g_hash_table_iter_init(&iter, living);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct living *at = value;
-        if (!at->is_leaving && base_hash_text(at->runner, seed) > own) {
+        if (!at->is_leaving && strcmp(at->runner, head->runner) != 0 &&
+            base_hash_text(at->runner, seed) > own) {
             return false;
         }
     }
     return true;
 }
 
+/* Whether a runner that is still listed will soon be gone: it is leaving, or
+ * the members have lost its node. */
+static bool
+is_going(const struct jobs *jobs, GHashTable *living, const char *runner)
+{
+    const struct living *found = find_node(living, runner);
+    char *node;
+    int index;
+
+    if (found == NULL || jobs->view == NULL || found->is_leaving) {
+        return found != NULL && found->is_leaving;
+    }
+    node = node_of(runner);
+    index = members_view_find(jobs->view, node);
+    g_free(node);
+    return index < 0 || !members_takes_work(&jobs->view->nodes[index]);
+}
+
 static int
 look_at(struct jobs *jobs, const struct jobs_head *head, int64_t revision,
         GHashTable *living)
@@ -382,11 +403,16 @@
         adopt_job(jobs, head, revision);
         return 1;
     }
-    if (!is_living(living, head->runner) &&
-        is_next_runner(jobs, living, head)) {
+    if (!is_next_runner(jobs, living, head)) {
+        return 0;
+    }
+    if (!is_living(living, head->runner)) {
         claim_job(jobs, head, revision);
         return 1;
     }
+    if (is_going(jobs, living, head->runner)) {
+        jobs->scan_ms = MIN(jobs->scan_ms, base_clock_ms() + AGAIN_MS);
+    }
     return 0;
 }
 
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -34,6 +34,7 @@
     /* So many commits take effect and lose their answer. */
     int lose_commits = 0;
     int n_commits = 0;
+    std::atomic<int> n_looks{0}; /* at all jobs */
     bool is_down = false;
     /* contracts */
     std::map<uint64_t, struct control_ask> held;
@@ -166,6 +167,7 @@
         add_current(kv, kv->key);
         return;
     case PLATFORM_LIST:
+        fake->n_looks += strcmp(kv->key, JOBS_ACTIVE_PREFIX) == 0 ? 1 : 0;
         for (const auto &[key, at] : fake->records) {
             if (key.rfind(kv->key, 0) == 0) {
                 add_entry(kv, key, at);
@@ -1104,6 +1106,69 @@
     }
 }
 
+/* Puts a job of another runner into the store, like the job `from`. */
+void
+put_job_of(const char *runner, const char *state, const char *from,
+           const char *id)
+{
+    std::lock_guard<std::mutex> hold(fake->lock);
+    struct jobs_head head;
+    struct base_error err = {};
+    stored known = fake->records[std::string(JOBS_HEAD_PREFIX) + from];
+    GBytes *value = g_bytes_new(known.value.data(), known.value.size());
+
+    ASSERT_TRUE(jobs_head_decode(id, value, &head, &err)) << err.text;
+    g_bytes_unref(value);
+    g_strlcpy(head.runner, runner, sizeof(head.runner));
+    g_array_set_size(head.listed, 0);
+    value = jobs_head_encode(&head);
+    jobs_head_finish(&head);
+    fake->records[std::string(JOBS_HEAD_PREFIX) + id] = {text_of(value),
+                                                         ++fake->revision, 0};
+    g_bytes_unref(value);
+    fake->records[std::string(JOBS_NODE_PREFIX) + runner] = {
+        state, ++fake->revision, 7};
+    fake->n_looks = 0;
+}
+
+/* The node that takes the job of a runner that is going looks again before
+ * its usual time: more often than where the runner stays. */
+TEST(Jobs, TheNextRunnerLooksAgainWhileAnotherIsGoing)
+{
+    const int n_looks = 6;
+    struct {
+        const char *name;
+        const char *state;
+        enum members_state members;
+    } cases[] = {
+        {"it is leaving", JOBS_RUNNER_LEAVING, MEMBERS_ALIVE},
+        {"its node is lost", JOBS_RUNNER_READY, MEMBERS_DEAD},
+    };
+    int64_t passed_ms = 0;
+
+    for (const auto &row : cases) {
+        Site site;
+        site.view->nodes[1].state = row.members;
+        Node node(site, "n1");
+        ASSERT_EQ(node.submit("k", "a"), JOBS_OK);
+        ASSERT_EQ(node.wait_for("k", 1).size(), 1u);
+        put_job_of("n2#7", row.state, "k", "j");
+        int64_t from_ms = base_clock_ms();
+        for (int i = 0; i < 1500 && site.store.n_looks < n_looks; i++) {
+            g_usleep(10000);
+        }
+        EXPECT_GE(site.store.n_looks, n_looks) << row.name;
+        passed_ms = MAX(passed_ms, base_clock_ms() - from_ms);
+    }
+    Site site;
+    Node node(site, "n1");
+    ASSERT_EQ(node.submit("k", "a"), JOBS_OK);
+    ASSERT_EQ(node.wait_for("k", 1).size(), 1u);
+    put_job_of("n2#7", JOBS_RUNNER_READY, "k", "j");
+    g_usleep((gulong)passed_ms * 1000);
+    EXPECT_LT(2 * site.store.n_looks, n_looks) << "it stays";
+}
+
 TEST(Jobs, WithoutTheStoreNothingIsAcceptedAndNothingIsDenied)
 {
     Site site;
