Ask four servers for an item's slot before it waits at one

An item asked two servers, and when both were busy waited a second at one. Change: four are asked, and the wait is 0.4 s. Test: Jobs.AnItemFindsTheOneFreeServerOfFourWithoutQueueing, queued before, not now. Jobs.AKilledNodesItemsGoOnFromTheLastCheckpoint failed three times at this change: it slept with the lock of the store held, and the nodes got it by luck.

--- a/packages/jobs/ask.c
+++ b/packages/jobs/ask.c
@@ -7,8 +7,8 @@
 enum {
     MAX_ASKS = 24,      /* under way at a time, a node */
     MAX_RUNNING = 256,  /* items, a node */
-    DIRECT_CHOICES = 2, /* asked without waiting, before queueing */
-    QUEUE_MS = 1000,    /* that a keeper may queue an ask */
+    DIRECT_CHOICES = 4, /* asked without waiting: few are free under load */
+    QUEUE_MS = 400,     /* at one keeper; then others may be free */
     /* Longer than almost every item; a keeper frees the slots of a holder
      * that is gone by itself. */
     TERM_MS = 20000,
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -40,7 +40,8 @@
     std::map<uint64_t, struct control_ask> held;
     uint64_t next_contract = 1;
     void (*yield)(void *, uint64_t, int) = nullptr;
-    int n_busy = 0; /* so many asks are answered so */
+    int n_busy = 0;   /* so many asks are answered so */
+    int n_queued = 0; /* asks that may wait */
     std::function<void(const std::string &)> on_ask;
 };
 
@@ -338,6 +339,7 @@
     if (fake->on_ask) {
         fake->on_ask(ask->server);
     }
+    fake->n_queued += ask->wait_ms > 0 ? 1 : 0;
     if (fake->n_busy > 0) {
         fake->n_busy--;
         ask->answer = CONTRACTS_BUSY;
@@ -618,6 +620,17 @@
     }
 };
 
+/* The lock is free while it sleeps, or the nodes would hardly get it. */
+void
+wait_for_record(const char *key)
+{
+    for (bool is_there = false; !is_there;) {
+        g_usleep(1000);
+        std::lock_guard<std::mutex> hold(fake->lock);
+        is_there = fake->records.count(key) > 0;
+    }
+}
+
 std::set<std::string>
 as_set(const std::vector<std::string> &list)
 {
@@ -720,13 +733,7 @@
     Node two(site, "n2");
 
     ASSERT_EQ(one->submit("j", "a"), JOBS_OK);
-    for (int i = 0; i < 1000; i++) {
-        std::lock_guard<std::mutex> hold(site.store.lock);
-        if (site.store.records.count(JOBS_RESULTS_PREFIX "j/partial") > 0) {
-            break;
-        }
-        g_usleep(10000);
-    }
+    wait_for_record(JOBS_RESULTS_PREFIX "j/partial");
     one->stop();
     {
         std::lock_guard<std::mutex> hold(site.store.lock);
@@ -1020,6 +1027,30 @@
     world_unref(all);
 }
 
+/* Under load few servers have a free slot: several are asked before the item
+ * waits at one. */
+TEST(Jobs, AnItemFindsTheOneFreeServerOfFourWithoutQueueing)
+{
+    Site site;
+    struct world *four = site.make_world({"e1", "e2", "e3", "e4"});
+    std::set<std::string> asked;
+    Node node(site, "n1");
+
+    site.store.on_ask = [&](const std::string &server) {
+        asked.insert(server);
+    };
+    jobs_update(node.jobs, four, site.view);
+    {
+        std::lock_guard<std::mutex> hold(site.store.lock);
+        site.store.n_busy = 3;
+    }
+    ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+    EXPECT_EQ(node.wait_for("j", 1).size(), 1u);
+    EXPECT_EQ(asked.size(), 4u);
+    EXPECT_EQ(site.store.n_queued, 0);
+    world_unref(four);
+}
+
 TEST(Jobs, ResultsAreRecordedWhileOtherItemsRun)
 {
     std::atomic<bool> is_over{false};
@@ -1064,12 +1095,7 @@
     Node two(site, "n2");
 
     ASSERT_EQ(one.submit("j", "a"), JOBS_OK);
-    for (bool is_kept = false; !is_kept;) {
-        g_usleep(1000);
-        std::lock_guard<std::mutex> hold(site.store.lock);
-        is_kept =
-            site.store.records.count(JOBS_RESULTS_PREFIX "j/partial") > 0;
-    }
+    wait_for_record(JOBS_RESULTS_PREFIX "j/partial");
     jobs_drain(one.jobs);
     EXPECT_EQ(two.wait_for("j", 1), std::vector<std::string>{"a!"});
     EXPECT_EQ(n_runs, 2);
