--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -7,7 +7,8 @@
  *   submit.c  accepting a job
  *   read.c    results, inputs and ends of jobs, also of other nodes'
  *   run.c     a job that this node runs: its list of results
- *   claim.c   the node's lease, and jobs whose runner is gone
+ *   lease.c   the node's lease and its entry
+ *   claim.c   jobs whose runner is gone
  *   item.c    one item at a server
  *   ask.c     contracts for items
  *   events.c  the text of a stream of events
@@ -192,7 +193,7 @@
 void jobs_run_sees_head(struct jobs_run *run, const struct jobs_head *head,
                         int64_t revision);
 
-/* ---- claim.c ---- */
+/* ---- lease.c, claim.c ---- */
 
 bool jobs_holds_lease(const struct jobs *jobs);
 void jobs_lease_tick(struct jobs *jobs, int64_t now_ms);
--- /dev/null
+++ b/packages/jobs/lease.c
@@ -0,0 +1,125 @@
+#include "jobs/jobs_private.h"
+
+#include <string.h>
+
+enum {
+    KEEP_PART = 3, /* the lease is renewed in this part of its time */
+    LEASE_RETRY_MS = 300,
+};
+
+/* Whether this node's jobs are surely its own: nobody takes them while the
+ * lease runs. */
+bool
+jobs_holds_lease(const struct jobs *jobs)
+{
+    return jobs->is_registered && base_clock_ms() < jobs->lease_until_ms;
+}
+
+static void
+lose_lease(struct jobs *jobs)
+{
+    if (jobs->lease != 0) {
+        base_log(BASE_LOG_NOTICE, "jobs.lease_lost", "runner=%s",
+                 jobs->runner);
+    }
+    jobs->lease = 0;
+    jobs->is_registered = false;
+    jobs->said_leaving = false;
+    jobs->lease_until_ms = 0;
+}
+
+/* Whether the runner's entry is missing or no longer true. */
+static bool
+must_register(const struct jobs *jobs)
+{
+    return !jobs->is_registered || jobs->is_leaving != jobs->said_leaving;
+}
+
+static void
+on_registered(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    jobs->is_leasing = false;
+    jobs->lease_next_ms = base_clock_ms() + LEASE_RETRY_MS;
+    if (kv->status == PLATFORM_OK) {
+        jobs->is_registered = true;
+        jobs->said_leaving = jobs->tells_leaving;
+        jobs->lease_next_ms = base_clock_ms() + jobs->lease_ms / KEEP_PART;
+        base_log(BASE_LOG_NOTICE, "jobs.registered",
+                 "runner=%s leaving=%d lease=%" G_GINT64_FORMAT, jobs->runner,
+                 jobs->said_leaving, jobs->lease);
+        jobs_scan_soon(jobs);
+    }
+    else if (kv->status == PLATFORM_LEASE_GONE) {
+        lose_lease(jobs);
+    }
+}
+
+static void
+register_runner(struct jobs *jobs)
+{
+    const char *state =
+        jobs->is_leaving ? JOBS_RUNNER_LEAVING : JOBS_RUNNER_READY;
+    char *key = g_strconcat(JOBS_NODE_PREFIX, jobs->runner, NULL);
+    struct platform_kv *kv = platform_kv_new(PLATFORM_PUT_IF, key);
+
+    kv->expect_revision = PLATFORM_ANY;
+    kv->lease = jobs->lease;
+    kv->value = g_bytes_new_static(state, strlen(state));
+    g_free(key);
+    jobs->tells_leaving = jobs->is_leaving;
+    jobs->is_leasing = true;
+    jobs_kv(jobs, kv, (struct jobs_next){on_registered, NULL});
+}
+
+static void
+on_leased(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    int64_t life_ms = kv->ttl_ms;
+
+    jobs->is_leasing = false;
+    jobs->lease_next_ms = base_clock_ms() + LEASE_RETRY_MS;
+    if (kv->status == PLATFORM_LEASE_GONE) {
+        lose_lease(jobs);
+        return;
+    }
+    if (kv->status != PLATFORM_OK) {
+        return;
+    }
+    jobs->lease = kv->lease;
+    jobs->lease_until_ms = kv->sent_ms + life_ms;
+    jobs->lease_next_ms = kv->sent_ms + life_ms / KEEP_PART;
+    if (must_register(jobs)) {
+        register_runner(jobs);
+    }
+}
+
+/* Takes, renews and registers the lease; any node may lose it at any time. */
+void
+jobs_lease_tick(struct jobs *jobs, int64_t now_ms)
+{
+    struct platform_kv *kv;
+
+    if (!jobs->is_leaving && g_atomic_int_get(&jobs->is_draining)) {
+        jobs->is_leaving = true;
+        jobs->lease_next_ms = 0;
+    }
+    if (jobs->is_leasing || now_ms < jobs->lease_next_ms) {
+        return;
+    }
+    if (jobs->lease != 0 && must_register(jobs) &&
+        now_ms < jobs->lease_until_ms) {
+        register_runner(jobs);
+        return;
+    }
+    if (jobs->lease != 0 && now_ms >= jobs->lease_until_ms) {
+        lose_lease(jobs);
+    }
+    kv = platform_kv_new(
+        jobs->lease == 0 ? PLATFORM_LEASE_GRANT : PLATFORM_LEASE_KEEP, NULL);
+    if (jobs->lease != 0) {
+        kv->lease = jobs->lease;
+    }
+    kv->ttl_ms = jobs->lease_ms;
+    jobs->is_leasing = true;
+    jobs_kv(jobs, kv, (struct jobs_next){on_leased, NULL});
+}
