--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -7,7 +7,8 @@
  *   codec.c    messages between nodes, to and from bytes
  *   route.c    dispatch of received messages
  *   gossip.c   membership on the wire
- *   keep.c     the servers that this node keeps
+ *   tables.c   the servers that this node keeps
+ *   keep.c     asks and contracts of those servers
  *   audit.c    what is asked of holders of old contracts
  *   handover.c tables that move from one keeper to the next
  *   hold.c     asks, and the contracts that this node holds
@@ -260,6 +261,9 @@
                         bool is_reached);
 bool control_is_out_of_reach(struct control *control, const char *keeper);
 
+/* tables.c */
+void control_keep_update(struct control *control);
+
 /* recall.c */
 void control_recall_init(struct control *control);
 void control_recall_finish(struct control *control);
@@ -286,7 +290,8 @@
 /* keep.c */
 void control_keep_init(struct control *control);
 void control_keep_finish(struct control *control);
-void control_keep_update(struct control *control);
+void control_keep_deliver(struct control *control,
+                          const struct control_kept *kept);
 void control_keep_stop(struct control *control, const char *name);
 void control_keep_audit(struct control *control, int64_t min_age_ms,
                         bool wants_report);
@@ -332,8 +337,6 @@
                          const Control__Answer *answer);
 void control_hold_release(struct control *control, uint64_t contract,
                           int slots, const struct contracts_outcome *outcome);
-void control_hold_audit(struct control *control, const Control__Audit *audit);
-void control_hold_report_all(struct control *control);
 
 /* release.c */
 void control_tell_release(struct control *control, const char *server,
@@ -350,6 +353,11 @@
 
 /* report.c */
 void control_hold_update(struct control *control);
+void control_hold_report_all(struct control *control);
+void control_hold_audit(struct control *control, const Control__Audit *audit);
+void control_report_add(GPtrArray *report, const struct control_held *held);
+
+/* spread.c */
 void control_spread_init(struct control *control);
 void control_spread_finish(struct control *control);
 void control_spread_tick(struct control *control);
--- a/packages/control/keep.c
+++ b/packages/control/keep.c
@@ -173,8 +173,8 @@
 
 /* Delivers what a keeper's table decided.  The events are taken first, since
  * a local answer may lead to the next call of the same table. */
-static void
-deliver(struct control *control, const struct control_kept *kept)
+void
+control_keep_deliver(struct control *control, const struct control_kept *kept)
 {
     GArray *events = control->keep.events;
 
@@ -196,64 +196,6 @@
     g_array_free(events, TRUE);
 }
 
-static struct contracts_keeper_desc
-describe(struct control *control, int server, bool is_rebuilding)
-{
-    const struct world_server *of = &control->world->servers[server];
-    const struct world_deployment *deployment =
-        &control->world->deployments[of->deployment];
-    struct contracts_keeper_desc desc = {
-        .slots = of->slots,
-        .first_token_target_ms = deployment->first_token_target_ms,
-        .inter_token_target_ms = deployment->inter_token_target_ms,
-        .long_share = deployment->long_share,
-        .batch_share = deployment->batch_share,
-        .batch_fills = deployment->batch_fills,
-        .is_rebuilding = is_rebuilding,
-        .now_ms = control->now_ms,
-    };
-
-    desc.id_seed = ((uint64_t)g_random_int() << 32) | g_random_int();
-    return desc;
-}
-
-static void
-follow_leaving(struct control *control, struct control_kept *kept, int server)
-{
-    bool is_leaving = control_is_leaving(control, server);
-
-    if (is_leaving == kept->is_leaving) {
-        return;
-    }
-    kept->is_leaving = is_leaving;
-    if (!is_leaving) {
-        contracts_keeper_stay(kept->keeper);
-        return;
-    }
-    contracts_keeper_leave(kept->keeper, control->now_ms,
-                           control->keep.events);
-    deliver(control, kept);
-}
-
-static void
-start_keeping(struct control *control, int server, bool is_rebuilding)
-{
-    struct control_kept *kept = g_new0(struct control_kept, 1);
-    struct contracts_keeper_desc desc =
-        describe(control, server, is_rebuilding);
-
-    g_strlcpy(kept->server, control->world->servers[server].name,
-              sizeof(kept->server));
-    kept->keeper = contracts_keeper_new(&desc);
-    kept->is_whole = !is_rebuilding;
-    g_hash_table_insert(control->keep.servers, kept->server, kept);
-    base_log(BASE_LOG_INFO, "keeper.began",
-             "server=%s slots=%d nodes=%d cautious=%d", kept->server,
-             desc.slots, control->view->n_nodes, is_rebuilding);
-    follow_leaving(control, kept, server);
-    control_handover_apply(control, kept);
-}
-
 static gboolean
 is_of_server(gpointer key, gpointer value, gpointer server)
 {
@@ -307,77 +249,6 @@
     g_ptr_array_free(moved, TRUE);
 }
 
-/* Whether contracts of a server may be held that this node doesn't know of.
- * Nobody had any to give of a server that just came. */
-static bool
-may_be_held(const struct control *control, const char *server)
-{
-    return control->keep.known == NULL ||
-           g_hash_table_contains(control->keep.known, server);
-}
-
-static void
-remember_servers(struct control *control)
-{
-    GHashTable *known;
-
-    /* A starting node hears of old servers one after the other. */
-    if (control->world == NULL || g_atomic_int_get(&control->is_ready) == 0) {
-        return;
-    }
-    known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    for (int i = 0; i < control->world->n_servers; i++) {
-        g_hash_table_add(known, g_strdup(control->world->servers[i].name));
-    }
-    if (control->keep.known != NULL) {
-        g_hash_table_destroy(control->keep.known);
-    }
-    control->keep.known = known;
-}
-
-/* Follows a change of the configuration or of the membership: which servers
- * this node keeps, with which settings. */
-void
-control_keep_update(struct control *control)
-{
-    GList *names = g_hash_table_get_keys(control->keep.servers);
-
-    for (GList *at = names; at != NULL; at = at->next) {
-        int server = control->world == NULL
-                         ? WORLD_NONE
-                         : world_find_server(control->world, at->data);
-        if (server == WORLD_NONE ||
-            !control_is_self(control, control_keeper_of(control, server))) {
-            if (server != WORLD_NONE) {
-                control_handover_send(control, at->data);
-            }
-            control_keep_stop(control, at->data);
-        }
-    }
-    g_list_free(names);
-    for (int i = 0; control->world != NULL && i < control->world->n_servers;
-         i++) {
-        struct control_kept *kept;
-        if (!control_is_self(control, control_keeper_of(control, i))) {
-            continue;
-        }
-        kept = g_hash_table_lookup(control->keep.servers,
-                                   control->world->servers[i].name);
-        if (kept == NULL) {
-            start_keeping(
-                control, i,
-                may_be_held(control, control->world->servers[i].name));
-        }
-        else {
-            struct contracts_keeper_desc desc = describe(control, i, false);
-            contracts_keeper_set(kept->keeper, &desc);
-            follow_leaving(control, kept, i);
-        }
-    }
-    remember_servers(control);
-    control_recall_begin(control);
-}
-
 /* ---- asks ---- */
 
 static struct kept_ask *
@@ -461,7 +332,7 @@
     fill_ask(&question, holder, ask);
     contracts_keeper_ask(kept->keeper, &question, control->now_ms,
                          control->keep.events);
-    deliver(control, kept);
+    control_keep_deliver(control, kept);
 }
 
 static void
@@ -473,7 +344,7 @@
     g_hash_table_remove(control->keep.granted, &key);
     contracts_keeper_release(kept->keeper, contract, outcome, control->now_ms,
                              control->keep.events);
-    deliver(control, kept);
+    control_keep_deliver(control, kept);
 }
 
 /* A holder gave up on an ask: take it from the queue, or take back what was
@@ -496,7 +367,7 @@
         end_span(control, ask, "cancelled");
         contracts_keeper_cancel(kept->keeper, holder, cancel->ask_id,
                                 control->now_ms, control->keep.events);
-        deliver(control, kept);
+        control_keep_deliver(control, kept);
     }
     else if (ask->event.answer == CONTRACTS_GRANTED) {
         release_grant(control, kept, ask->event.contract, &NOTHING);
@@ -522,7 +393,7 @@
         /* The contract is kept: its first token is late. */
         contracts_keeper_shrink(kept->keeper, release->contract, 1, &outcome,
                                 control->now_ms, control->keep.events);
-        deliver(control, kept);
+        control_keep_deliver(control, kept);
         return;
     }
     if (!release->is_batch) {
@@ -543,7 +414,7 @@
     contracts_keeper_shrink(kept->keeper, release->contract,
                             (int)MIN(release->slots_left, (uint32_t)INT32_MAX),
                             &outcome, control->now_ms, control->keep.events);
-    deliver(control, kept);
+    control_keep_deliver(control, kept);
 }
 
 /* Enters what a holder says that it holds. */
@@ -565,7 +436,7 @@
         note_grant(control, kept, holder, held[i]->contract, work_class,
                    slots);
     }
-    deliver(control, kept);
+    control_keep_deliver(control, kept);
 }
 
 /* A holder tells a new keeper what it holds. */
@@ -612,7 +483,7 @@
         struct control_kept *kept = at->data;
         contracts_keeper_holder_lost(kept->keeper, holder, control->now_ms,
                                      control->keep.events);
-        deliver(control, kept);
+        control_keep_deliver(control, kept);
     }
     g_list_free(all);
     g_hash_table_foreach_remove(control->keep.granted, is_of_holder,
@@ -649,7 +520,7 @@
         struct control_kept *kept = at->data;
         contracts_keeper_tick(kept->keeper, control->now_ms,
                               control->keep.events);
-        deliver(control, kept);
+        control_keep_deliver(control, kept);
     }
     g_list_free(all);
     if (control->now_ms >= control->keep.next_sweep_ms) {
--- a/packages/control/recall.c
+++ b/packages/control/recall.c
@@ -263,16 +263,9 @@
         0) {
         const struct control_held *held =
             base_table_get(&control->hold.held, handle);
-        Control__Held *entry;
-        if (held->is_local || strcmp(held->server, server) != 0) {
-            continue;
+        if (!held->is_local && strcmp(held->server, server) == 0) {
+            control_report_add(held_list, held);
         }
-        entry = g_new(Control__Held, 1);
-        control__held__init(entry);
-        entry->contract = held->contract;
-        entry->work_class = (uint32_t)held->class_;
-        entry->slots = (uint32_t)held->slots;
-        g_ptr_array_add(held_list, entry);
     }
     report->server = g_strdup(server);
     report->n_held = held_list->len;
--- a/packages/control/report.c
+++ b/packages/control/report.c
@@ -36,8 +36,9 @@
     return true;
 }
 
-static void
-add_to_report(GPtrArray *report, const struct control_held *held)
+/* Adds a contract to the list of a report; the list's owner frees it. */
+void
+control_report_add(GPtrArray *report, const struct control_held *held)
 {
     Control__Held *entry = g_new(Control__Held, 1);
 
@@ -80,7 +81,7 @@
             report = g_ptr_array_new_with_free_func(g_free);
             g_hash_table_insert(reports, held->server, report);
         }
-        add_to_report(report, held);
+        control_report_add(report, held);
     }
     g_hash_table_iter_init(&iter, reports);
     while (g_hash_table_iter_next(&iter, &server, &report)) {
@@ -119,7 +120,7 @@
                                                    audit->contracts[i]);
         const struct control_held *held = control_find_held(control, packed);
         if (held != NULL) {
-            add_to_report(report, held);
+            control_report_add(report, held);
             continue;
         }
         control_tell_release(control, audit->server, audit->contracts[i], 0,
--- /dev/null
+++ b/packages/control/tables.c
@@ -0,0 +1,154 @@
+#include "control/control_private.h"
+
+#include <string.h>
+
+/* The tables of the servers that this node keeps, as the configuration and
+ * the membership change. */
+
+static struct contracts_keeper_desc
+describe(struct control *control, int server, bool is_rebuilding)
+{
+    const struct world_server *of = &control->world->servers[server];
+    const struct world_deployment *deployment =
+        &control->world->deployments[of->deployment];
+    struct contracts_keeper_desc desc = {
+        .slots = of->slots,
+        .first_token_target_ms = deployment->first_token_target_ms,
+        .inter_token_target_ms = deployment->inter_token_target_ms,
+        .long_share = deployment->long_share,
+        .batch_share = deployment->batch_share,
+        .batch_fills = deployment->batch_fills,
+        .is_rebuilding = is_rebuilding,
+        .now_ms = control->now_ms,
+    };
+
+    desc.id_seed = ((uint64_t)g_random_int() << 32) | g_random_int();
+    return desc;
+}
+
+static void
+follow_leaving(struct control *control, struct control_kept *kept, int server)
+{
+    bool is_leaving = control_is_leaving(control, server);
+
+    if (is_leaving == kept->is_leaving) {
+        return;
+    }
+    kept->is_leaving = is_leaving;
+    if (!is_leaving) {
+        contracts_keeper_stay(kept->keeper);
+        return;
+    }
+    contracts_keeper_leave(kept->keeper, control->now_ms,
+                           control->keep.events);
+    control_keep_deliver(control, kept);
+}
+
+static void
+start_keeping(struct control *control, int server, bool is_rebuilding)
+{
+    struct control_kept *kept = g_new0(struct control_kept, 1);
+    struct contracts_keeper_desc desc =
+        describe(control, server, is_rebuilding);
+
+    g_strlcpy(kept->server, control->world->servers[server].name,
+              sizeof(kept->server));
+    kept->keeper = contracts_keeper_new(&desc);
+    kept->is_whole = !is_rebuilding;
+    g_hash_table_insert(control->keep.servers, kept->server, kept);
+    base_log(BASE_LOG_INFO, "keeper.began",
+             "server=%s slots=%d nodes=%d cautious=%d", kept->server,
+             desc.slots, control->view->n_nodes, is_rebuilding);
+    follow_leaving(control, kept, server);
+    control_handover_apply(control, kept);
+}
+
+/* Whether contracts of a server may be held that this node doesn't know of.
+ * Nobody had any to give of a server that just came. */
+static bool
+may_be_held(const struct control *control, const char *server)
+{
+    return control->keep.known == NULL ||
+           g_hash_table_contains(control->keep.known, server);
+}
+
+static void
+remember_servers(struct control *control)
+{
+    GHashTable *known;
+
+    /* A starting node hears of old servers one after the other. */
+    if (control->world == NULL || g_atomic_int_get(&control->is_ready) == 0) {
+        return;
+    }
+    known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int i = 0; i < control->world->n_servers; i++) {
+        g_hash_table_add(known, g_strdup(control->world->servers[i].name));
+    }
+    if (control->keep.known != NULL) {
+        g_hash_table_destroy(control->keep.known);
+    }
+    control->keep.known = known;
+}
+
+/* Whether the server left, or another node keeps it now. */
+static bool
+is_moved(struct control *control, int server)
+{
+    return server == WORLD_NONE ||
+           !control_is_self(control, control_keeper_of(control, server));
+}
+
+static void
+stop_moved(struct control *control)
+{
+    GList *names = g_hash_table_get_keys(control->keep.servers);
+
+    for (GList *at = names; at != NULL; at = at->next) {
+        int server = control->world == NULL
+                         ? WORLD_NONE
+                         : world_find_server(control->world, at->data);
+        if (!is_moved(control, server)) {
+            continue;
+        }
+        if (server != WORLD_NONE) {
+            control_handover_send(control, at->data);
+        }
+        control_keep_stop(control, at->data);
+    }
+    g_list_free(names);
+}
+
+static void
+keep_server(struct control *control, int server)
+{
+    const char *name = control->world->servers[server].name;
+    struct control_kept *kept =
+        g_hash_table_lookup(control->keep.servers, name);
+    struct contracts_keeper_desc desc;
+
+    if (kept == NULL) {
+        start_keeping(control, server, may_be_held(control, name));
+        return;
+    }
+    desc = describe(control, server, false);
+    contracts_keeper_set(kept->keeper, &desc);
+    follow_leaving(control, kept, server);
+}
+
+/* Follows a change of the configuration or of the membership: which servers
+ * this node keeps, with which settings. */
+void
+control_keep_update(struct control *control)
+{
+    int n_servers = control->world == NULL ? 0 : control->world->n_servers;
+
+    stop_moved(control);
+    for (int i = 0; i < n_servers; i++) {
+        if (!is_moved(control, i)) {
+            keep_server(control, i);
+        }
+    }
+    remember_servers(control);
+    control_recall_begin(control);
+}
