--- a/packages/control/fuzz_control.c
+++ b/packages/control/fuzz_control.c
@@ -26,7 +26,8 @@
         &control__audit__descriptor,       &control__news__descriptor,
         &control__record_pull__descriptor, &control__record__descriptor,
         &control__rate_ask__descriptor,    &control__rate_answer__descriptor,
-        &control__handover__descriptor,
+        &control__handover__descriptor,    &control__recall__descriptor,
+        &control__recalled__descriptor,
     };
     return ALL[kind % G_N_ELEMENTS(ALL)];
 }
