--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -35,7 +35,7 @@
     int lose_commits = 0;
     int n_commits = 0;
     std::atomic<int> n_looks{0}; /* at all jobs */
-    bool is_down = false;
+    std::atomic<bool> is_down{false};
     /* contracts */
     std::map<uint64_t, struct control_ask> held;
     uint64_t next_contract = 1;
