--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -62,6 +62,18 @@
     return kept;
 }
 
+/* One of the servers that a node keeps; "" when it keeps none. */
+std::string
+server_kept_by(Fleet &fleet, size_t node)
+{
+    for (auto &entry : kept_by(fleet)) {
+        if (entry.second[0] == node) {
+            return entry.first;
+        }
+    }
+    return "";
+}
+
 bool
 each_is_kept_once(Fleet &fleet, size_t n_servers)
 {
@@ -281,13 +293,7 @@
     ASSERT_TRUE(fleet.see_each_other());
     ASSERT_TRUE(fleet.put_in_force(1, document(8)));
     ASSERT_TRUE(each_is_kept_once(fleet, 8));
-    auto kept = kept_by(fleet);
-    std::string server;
-    for (auto &entry : kept) {
-        if (entry.second[0] == 1) {
-            server = entry.first;
-        }
-    }
+    std::string server = server_kept_by(fleet, 1);
     ASSERT_FALSE(server.empty());
     Pause pause;
     pause.begin(fleet.at(1));
@@ -331,14 +337,11 @@
     ASSERT_TRUE(fleet.see_each_other());
     ASSERT_TRUE(fleet.put_in_force(1, document(8)));
     ASSERT_TRUE(each_is_kept_once(fleet, 8));
-    std::string server;
-    for (auto &entry : kept_by(fleet)) {
-        server = entry.second[0] == 1 ? entry.first : server;
-    }
+    std::string server = server_kept_by(fleet, 1);
     ASSERT_FALSE(server.empty());
     auto ask = [&] {
-        struct control_ask *asked =
-            fleet.task.ask(fleet.at(0), server.c_str(), CONTRACTS_ONLINE_SHORT);
+        struct control_ask *asked = fleet.task.ask(fleet.at(0), server.c_str(),
+                                                   CONTRACTS_ONLINE_SHORT);
         control_release(fleet.at(0), asked->contract, nullptr);
         return asked->is_local_share;
     };
@@ -381,13 +384,7 @@
     ASSERT_TRUE(fleet.see_each_other());
     ASSERT_TRUE(fleet.put_in_force(1, document(6)));
     ASSERT_TRUE(each_is_kept_once(fleet, 6));
-    auto kept = kept_by(fleet);
-    std::string server;
-    for (auto &entry : kept) {
-        if (entry.second[0] == 2) {
-            server = entry.first;
-        }
-    }
+    std::string server = server_kept_by(fleet, 2);
     ASSERT_FALSE(server.empty());
     for (int i = 0; i < 3; i++) {
         ASSERT_EQ(fleet.task
@@ -420,10 +417,7 @@
     ASSERT_TRUE(fleet.see_each_other());
     ASSERT_TRUE(fleet.put_in_force(1, document(6)));
     ASSERT_TRUE(each_is_kept_once(fleet, 6));
-    std::string server;
-    for (auto &entry : kept_by(fleet)) {
-        server = entry.second[0] == 2 ? entry.first : server;
-    }
+    std::string server = server_kept_by(fleet, 2);
     ASSERT_FALSE(server.empty());
     for (int i = 0; i < 3; i++) {
         ASSERT_EQ(fleet.task
