Give each node of the path's check ports of its own

Its log: n2 and n3 were both given control port 46565, and n2 ended with "Address already in use". The check took a port from the system and closed it before the next was taken, so the same one could come twice. Change: it uses the bench's free_port, which now never gives a port twice in one process. No check changed.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -27,6 +27,7 @@
 PLATFORM = ROOT / "standins" / "platform.py"
 READY_S = 20
 PORTS = (12000, 32000)
+GIVEN_PORTS = set()  # to this process's nodes, which may not listen yet
 STOP_S = 60
 OUTAGE_S = 20
 # Keepers that no other handed a table to are cautious for two seconds.
@@ -38,12 +39,15 @@
     gives to outgoing connections, which might take it before its use."""
     while True:
         port = random.SystemRandom().randrange(*PORTS)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as s:
             try:
                 s.bind((address, port))
-                return port
             except OSError:
                 continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 def request(address, method, path, body=None, headers=None, timeout=10):
--- a/bench/site_path.py
+++ b/bench/site_path.py
@@ -14,7 +14,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,8 @@
 HERE = pathlib.Path(__file__).resolve().parent
 import importlib.util  # noqa: E402
 
+from fleet import free_port  # noqa: E402
+
 spec = importlib.util.spec_from_file_location(
     "site_standins", HERE.parent / "standins" / "site.py")
 standins = importlib.util.module_from_spec(spec)
@@ -32,12 +33,6 @@
 HOST = {"Host": "desk.example"}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Node:
     def __init__(self, binary, name, zone, site, seeds, folder):
         self.callers = free_port()
