Watch a site's entries on about twelve nodes instead of one a zone

Cause: on a site one node of each zone watched the key-value service. Nodes take that duty over only when membership loses the watcher, which a watcher that is alive but cut off from the service never causes, and which takes 5.5 s for a dead one. When the three watchers were cut off, frozen or dark at the same time, nobody read the entries of servers, though the other nodes reached the service and went on sending requests.

Change: without the setting, watchers are chosen so that about twelve nodes of a site watch, at least two a zone; sites of up to twelve nodes watch with all of them, and no failure has to be detected first. A document keeps two a zone.

ControlPlatform.DrainingServerIsNoticedWhenOneNodeReachesTheStore failed before the fix: the one node that reached the service was no watcher and went on using the server.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -8,16 +8,13 @@
     LEAVE_SEND_MS = 100, /* time to send the leave announcement */
     /* Maximum wait for the platform's last answers on stop. */
     PLATFORM_TIMEOUT_MS = 5000,
-    N_WATCHERS = 2, /* default number of watchers per availability zone */
+    /* Watchers per availability zone of a configuration document. */
+    DOCUMENT_WATCHERS = 2,
     /* Applying a change visits every pair of server and node.  The next change
      * is applied 1 ms later for each PAIRS_PER_MS pairs. */
     PAIRS_PER_MS = 1000,
 };
 
-/* Makes the choice of watchers independent of the choice of owners, which
- * uses the same hash. */
-#define WATCHER_SEED 0x7761746368657273U
-
 /* ---- the view and the configuration ---- */
 
 /* Returns the view index of the node that owns a server, or WORLD_NONE. */
@@ -93,26 +90,17 @@
     }
 }
 
-/* Whether this node is one of the n_watchers nodes of its zone that watch the
- * platform.  The nodes whose names have the highest hashes watch, so that all
- * nodes agree on the choice. */
-static bool
-should_watch(struct control *control)
+static void
+choose_watchers(struct control *control)
 {
-    const struct members_view *view = control->view;
-    const struct members_node *self = &view->nodes[view->self];
-    uint64_t weight = base_hash_text(self->name, WATCHER_SEED);
-    int n_higher = 0;
-
-    for (int i = 0; i < view->n_nodes; i++) {
-        const struct members_node *node = &view->nodes[i];
-        if (members_accepts_work(node) &&
-            strcmp(node->zone, self->zone) == 0 &&
-            base_hash_text(node->name, WATCHER_SEED) > weight) {
-            n_higher++;
-        }
+    int n_watchers = control->n_watchers;
+
+    if (n_watchers == 0) {
+        n_watchers = control->source != NULL
+                         ? control_watchers_per_zone(control->view)
+                         : DOCUMENT_WATCHERS;
     }
-    return members_accepts_work(self) && n_higher < control->n_watchers;
+    control->is_watcher = control_should_watch(control->view, n_watchers);
 }
 
 static void
@@ -127,7 +115,7 @@
     forget_owners(control);
     report_lost_holders(control, old);
     members_view_unref(old);
-    control->is_watcher = should_watch(control);
+    choose_watchers(control);
     control->is_changed = true;
 }
 
@@ -241,7 +229,7 @@
     control->source = desc->origin;
     control->may_retire = desc->may_retire;
     control->is_first_start = desc->is_first_start;
-    control->n_watchers = desc->n_watchers > 0 ? desc->n_watchers : N_WATCHERS;
+    control->n_watchers = desc->n_watchers;
     control->n_site_zones = desc->n_site_zones;
     control->site_zones =
         g_new0(struct world_site_zone, desc->n_site_zones + 1);
@@ -384,7 +372,7 @@
     control_loads_init(control);
     control_registry_init(control);
     forget_owners(control);
-    control->is_watcher = should_watch(control);
+    choose_watchers(control);
     control_retire_watch(control, true);
     return base_task_start(&control->task, err);
 }
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -155,7 +155,9 @@
     const struct world_source *origin;
     const struct world_site_zone *site_zones; /* site only; copied */
     int n_site_zones;
-    int n_watchers; /* nodes per zone that watch the key-value service; 0: 2 */
+    /* Nodes per zone that watch the key-value service.  0: two, and on a site
+     * so many that about twelve do in all. */
+    int n_watchers;
     /* Site only: all nodes start for the first time, so that no peer knows the
      * configuration. */
     bool is_first_start;
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -19,6 +19,7 @@
  *   preempt.c        preemption of slots by owners
  *   client_report.c  reporting held contracts to owners
  *   config_sync.c    synchronising the configuration
+ *   watchers.c       which nodes watch the key-value service
  *   leaving.c        hosts that the platform is about to take away
  *   registry.c       servers that register themselves
  *   retire.c         emptying this node on the operator's request
@@ -255,7 +256,7 @@
     const struct world_source *source; /* site only; NULL: own documents */
     struct world_site_zone *site_zones;
     int n_site_zones;
-    int n_watchers; /* number of watchers per availability zone */
+    int n_watchers; /* watchers per availability zone; 0: see watchers.c */
     bool may_retire;
     bool is_first_start;
     /* state */
@@ -426,6 +427,10 @@
                           const Control__RecordPull *pull,
                           const struct wire_return *back);
 
+/* watchers.c */
+int control_watchers_per_zone(const struct members_view *view);
+bool control_should_watch(const struct members_view *view, int n_watchers);
+
 /* leaving.c */
 void control_leaving_init(struct control *control);
 void control_leaving_finish(struct control *control);
--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -4,17 +4,27 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 struct platform {
     struct Watch {
         struct base_task *to;
         void *context;
         void (*happened)(struct platform_event *, void *);
+        std::string prefix;
+    };
+    struct Entry {
+        int64_t revision;
+        std::string text;
     };
     std::mutex lock;
     std::string current;
+    std::string config_key = "/cp/config/production/current";
+    std::map<std::string, Entry> servers; /* entries of a site's servers */
+    int64_t revision = 0;                 /* of the last change of servers */
     bool is_down = false;
     bool is_silent = false;            /* watches deliver no events */
+    std::set<struct base_task *> deaf; /* nodes that it does not reach */
     std::map<std::string, bool> hosts; /* address to is_leaving */
     std::map<uint64_t, Watch> watches;
     uint64_t last_watch = 0;
@@ -22,6 +32,11 @@
     int n_lists = 0;
 
     void put(const std::string &text);
+    void put_server(const std::string &key, const std::string &text);
+    void beat();
+    void cut_off_all_but(struct base_task *spared);
+    bool is_watched_by(struct base_task *task);
+    void list_entries(const Watch &watch);
     size_t
     n_watches()
     {
@@ -66,6 +81,10 @@
     if (event->entry.value != nullptr) {
         g_bytes_unref(event->entry.value);
     }
+    if (event->listing != nullptr) {
+        g_ptr_array_free(event->listing, TRUE);
+    }
+    g_free(event->entry.key);
     g_free(event);
 }
 
@@ -90,6 +109,7 @@
 {
     struct platform_entry *entry = (struct platform_entry *)data;
     g_bytes_unref(entry->value);
+    g_free(entry->key);
     g_free(entry);
 }
 
@@ -113,17 +133,105 @@
     std::lock_guard<std::mutex> guard(lock);
     current = text;
     for (auto &entry : watches) {
-        if (is_silent) {
+        if (is_silent || entry.second.prefix != config_key) {
+            continue;
+        }
+        struct platform_event *event = g_new0(struct platform_event, 1);
+        event->happened = entry.second.happened;
+        event->context = entry.second.context;
+        event->entry.value = g_bytes_new(text.data(), text.size());
+        base_call_send(&event->call, &EVENT_OPS, entry.second.to, nullptr);
+    }
+}
+
+/* Stores a server's entry and sends it to the watches. */
+void
+platform::put_server(const std::string &key, const std::string &text)
+{
+    std::lock_guard<std::mutex> guard(lock);
+    servers[key] = {++revision, text};
+    for (auto &entry : watches) {
+        if (entry.second.prefix != "servers/" ||
+            deaf.count(entry.second.to) > 0) {
             continue;
         }
         struct platform_event *event = g_new0(struct platform_event, 1);
         event->happened = entry.second.happened;
         event->context = entry.second.context;
+        event->entry.key = g_strdup(key.c_str());
+        event->entry.revision = revision;
         event->entry.value = g_bytes_new(text.data(), text.size());
         base_call_send(&event->call, &EVENT_OPS, entry.second.to, nullptr);
     }
 }
 
+/* Writes every entry once more, as heartbeats do. */
+void
+platform::beat()
+{
+    std::map<std::string, Entry> now;
+    {
+        std::lock_guard<std::mutex> guard(lock);
+        now = servers;
+    }
+    for (auto &entry : now) {
+        put_server(entry.first, entry.second.text);
+    }
+}
+
+/* Delivers nothing more to the nodes that watch now, but for one. */
+void
+platform::cut_off_all_but(struct base_task *spared)
+{
+    std::lock_guard<std::mutex> guard(lock);
+    for (auto &entry : watches) {
+        if (entry.second.to != spared) {
+            deaf.insert(entry.second.to);
+        }
+    }
+}
+
+bool
+platform::is_watched_by(struct base_task *task)
+{
+    std::lock_guard<std::mutex> guard(lock);
+    for (auto &entry : watches) {
+        if (entry.second.to == task) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sends all entries to a new watch of a site; call it with the lock. */
+void
+platform::list_entries(const Watch &watch)
+{
+    struct platform_event *event = g_new0(struct platform_event, 1);
+    std::map<std::string, Entry> entries;
+
+    if (watch.prefix == "servers/") {
+        entries = servers;
+    }
+    else if (!current.empty()) {
+        entries[config_key] = {1, current};
+    }
+
+    event->happened = watch.happened;
+    event->context = watch.context;
+    event->is_reset = true;
+    event->listing = g_ptr_array_new_with_free_func(free_entry);
+    for (auto &listed : entries) {
+        struct platform_entry *entry = g_new0(struct platform_entry, 1);
+        entry->key = g_strdup(listed.first.c_str());
+        entry->revision = listed.second.revision;
+        entry->value =
+            g_bytes_new(listed.second.text.data(), listed.second.text.size());
+        g_ptr_array_add(event->listing, entry);
+    }
+    base_call_send(&event->call, &EVENT_OPS, watch.to, nullptr);
+}
+
 extern "C" {
 
 struct platform_kv *
@@ -151,7 +259,7 @@
                  void (*answered)(struct platform_kv *, void *))
 {
     std::lock_guard<std::mutex> guard(platform->lock);
-    EXPECT_STREQ(kv->key, "/cp/config/production/current");
+    EXPECT_EQ(kv->key, platform->config_key);
     platform->n_gets++;
     kv->answered = answered;
     kv->call.ops = &KV_OPS;
@@ -173,8 +281,14 @@
                void (*happened)(struct platform_event *, void *))
 {
     std::lock_guard<std::mutex> guard(platform->lock);
-    EXPECT_STREQ(prefix, "/cp/config/production/current");
-    platform->watches[++platform->last_watch] = {to, context, happened};
+    platform::Watch watch = {to, context, happened, prefix};
+    if (platform->config_key == "op/config") {
+        platform->list_entries(watch);
+    }
+    else {
+        EXPECT_EQ(watch.prefix, platform->config_key);
+    }
+    platform->watches[++platform->last_watch] = watch;
     return platform->last_watch;
 }
 
@@ -210,11 +324,51 @@
 
 namespace {
 
+/* A site's configuration is its number; one service, "desk". */
+struct world_site *
+decode_site(const char *text, size_t size, struct base_error *err)
+{
+    (void)err;
+    struct world_site *site = g_new0(struct world_site, 1);
+    site->number =
+        g_ascii_strtoll(std::string(text, size).c_str(), nullptr, 10);
+    site->services = g_new0(struct world_site_service, 1);
+    site->services[0].name = g_strdup("desk");
+    site->n_services = 1;
+    return site;
+}
+
+/* A server's entry is "ready" or "draining". */
+bool
+decode_server(const char *key, const char *text, size_t size,
+              struct world_registration *out, struct base_error *err)
+{
+    (void)err;
+    memset(out, 0, sizeof(*out));
+    out->id = g_strdup(key);
+    out->service = g_strdup("desk");
+    out->host = g_strdup("127.0.0.1");
+    out->zone = g_strdup("etela-a");
+    out->port = 9001;
+    out->slots = 8;
+    out->is_draining = std::string(text, size) == "draining";
+    return true;
+}
+
+const struct world_source SITE = {.config_key = "op/config",
+                                  .servers_prefix = "servers/",
+                                  .decode_site = decode_site,
+                                  .decode_server = decode_server,
+                                  .retire_prefix = nullptr,
+                                  .retired_prefix = nullptr,
+                                  .retired_text = nullptr};
+
 /* Nodes in two zones that share one platform. */
 struct Cluster {
     struct platform platform;
     TestTask task; /* outlives the nodes, which send it replies */
     std::vector<std::unique_ptr<TestNode>> nodes;
+    const struct world_source *origin = nullptr;
 
     void
     add(int n_nodes)
@@ -223,8 +377,46 @@
             size_t index = nodes.size();
             nodes.push_back(std::make_unique<TestNode>(
                 "n" + std::to_string(index), index % 2 ? "etela-a" : "etela-b",
-                index ? nodes[0]->address() : "", &platform));
+                index ? nodes[0]->address() : "", &platform, nullptr, origin));
+        }
+    }
+    /* Waits for is_done while the servers send heartbeats. */
+    template <class F>
+    bool
+    beat_until(F is_done)
+    {
+        enum { BEAT_MS = 20, N_BEATS = 500 };
+        return task.until(
+            [&] {
+                platform.beat();
+                g_usleep(BEAT_MS * 1000);
+                return is_done();
+            },
+            N_BEATS);
+    }
+    /* The task of a node that does not watch, or of the last node. */
+    struct base_task *
+    node_without_watch()
+    {
+        for (auto &node : nodes) {
+            if (!platform.is_watched_by(&node->control->task)) {
+                return &node->control->task;
+            }
         }
+        return &nodes.back()->control->task;
+    }
+    /* Waits until every node may use n_servers servers. */
+    bool
+    all_use_servers(int64_t n_servers)
+    {
+        return beat_until([&] {
+            for (auto &node : nodes) {
+                if (node->usable_servers() != n_servers) {
+                    return false;
+                }
+            }
+            return true;
+        });
     }
     bool
     all_have_revision(int64_t number)
@@ -302,6 +494,52 @@
     EXPECT_TRUE(cluster.all_have_revision(1));
 }
 
+/* A server that leaves must not stay in use because the nodes that watch the
+ * servers have lost the key-value service while another reaches it. */
+TEST(ControlPlatform, DrainingServerIsNoticedWhenOneNodeReachesTheStore)
+{
+    Cluster cluster;
+    cluster.platform.config_key = SITE.config_key;
+    cluster.origin = &SITE;
+    cluster.platform.put("1");
+    cluster.platform.put_server("servers/s0", "ready");
+    cluster.platform.put_server("servers/s1", "ready");
+    cluster.add(6);
+    ASSERT_TRUE(cluster.all_have_revision(1));
+    ASSERT_TRUE(cluster.all_use_servers(2));
+    cluster.platform.cut_off_all_but(cluster.node_without_watch());
+    cluster.platform.put_server("servers/s0", "draining");
+    EXPECT_TRUE(cluster.all_use_servers(1));
+}
+
+TEST(ControlWatchers, AboutTwelveWatchASiteAndAtLeastTwoAZone)
+{
+    struct {
+        int n_zones;
+        int n_per_zone;
+    } cases[] = {{1, 12}, {2, 6}, {3, 4}, {5, 3}, {6, 2}, {40, 2}};
+
+    for (const auto &c : cases) {
+        enum { NODES_PER_ZONE = 20 };
+        std::vector<struct members_node> nodes;
+        struct members_view view = {};
+        int n_watchers = 0;
+        for (int i = 0; i < c.n_zones * NODES_PER_ZONE; i++) {
+            struct members_node node = {};
+            g_snprintf(node.name, sizeof(node.name), "n%d", i);
+            g_snprintf(node.zone, sizeof(node.zone), "z%d", i % c.n_zones);
+            nodes.push_back(node);
+        }
+        view.nodes = nodes.data();
+        view.n_nodes = (int)nodes.size();
+        EXPECT_EQ(control_watchers_per_zone(&view), c.n_per_zone);
+        for (view.self = 0; view.self < view.n_nodes; view.self++) {
+            n_watchers += control_should_watch(&view, c.n_per_zone) ? 1 : 0;
+        }
+        EXPECT_EQ(n_watchers, c.n_zones * c.n_per_zone);
+    }
+}
+
 /* Only watchers read the platform's list of leaving hosts, but every node,
  * also one that joins later, must stop admissions to their servers. */
 TEST(ControlPlatform, AllNodesRefuseLeavingServers)
--- a/packages/control/test_support.h
+++ b/packages/control/test_support.h
@@ -104,11 +104,13 @@
     struct base_counters counters;
     struct base_tracer tracer;
     struct control *control = nullptr;
-    int64_t revision = 0; /* atomic; revision of the last configuration */
+    int64_t revision = 0;  /* atomic; revision of the last configuration */
+    int64_t n_servers = 0; /* atomic; servers of the last configuration */
 
     TestNode(const std::string &name_, const std::string &zone_,
              const std::string &seed_, struct platform *platform = nullptr,
-             const char *traces_ = nullptr)
+             const char *traces_ = nullptr,
+             const struct world_source *origin = nullptr)
         : name(name_), zone(zone_), seed(seed_)
     {
         struct base_error err = {};
@@ -126,6 +128,7 @@
         desc.tracer = &tracer;
         desc.listener.changed = on_change;
         desc.listener.context = this;
+        desc.origin = origin;
         desc.seed = 1;
         control = control_start(&desc, &err);
         EXPECT_NE(control, nullptr) << err.text;
@@ -141,7 +144,10 @@
     on_change(void *context, struct world *world, struct members_view *view)
     {
         if (world != nullptr) {
-            __atomic_store_n(&((TestNode *)context)->revision, world->revision,
+            TestNode *node = (TestNode *)context;
+            __atomic_store_n(&node->n_servers, world->n_servers,
+                             __ATOMIC_SEQ_CST);
+            __atomic_store_n(&node->revision, world->revision,
                              __ATOMIC_SEQ_CST);
         }
     }
@@ -151,6 +157,12 @@
     {
         return __atomic_load_n(&revision, __ATOMIC_SEQ_CST);
     }
+    /* Number of servers that may be used, of the last configuration. */
+    int64_t
+    usable_servers()
+    {
+        return __atomic_load_n(&n_servers, __ATOMIC_SEQ_CST);
+    }
     std::string
     address()
     {
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -47,7 +47,8 @@
                    run */
     struct world_site_zone *site_zones;
     int n_site_zones;
-    int n_watchers; /* nodes per zone that watch the key-value service */
+    int n_watchers; /* nodes per zone that watch the key-value service; 0: see
+                       control.h */
 };
 
 struct node_settings {
