--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -166,6 +166,7 @@
     control_config_tick(control);
     control_leaving_tick(control);
     control_registry_tick(control);
+    control_prompt_parts_tick(control);
     control_retire_tick(control);
     apply_changes(control);
     control_owner_tick(control);
@@ -371,6 +372,7 @@
     control_leaving_init(control);
     control_loads_init(control);
     control_registry_init(control);
+    control_prompt_parts_init(control);
     forget_owners(control);
     choose_watchers(control);
     control_retire_watch(control, true);
@@ -452,6 +454,7 @@
     control_leaving_finish(control);
     control_loads_finish(control);
     control_registry_finish(control);
+    control_prompt_parts_finish(control);
     base_task_finish(&control->task);
     free_control(control);
 }
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -22,6 +22,7 @@
 #include "contracts/contracts.h"
 #include "members/members.h"
 #include "platform/platform.h"
+#include "quarantine/quarantine.h"
 #include "world/site.h"
 
 #ifdef __cplusplus
@@ -115,6 +116,20 @@
 bool control_rate_allow(struct control *control, const char *operator_name,
                         int count);
 
+/* What all nodes know of the parts of prompts that crash servers; any thread.
+ * See quarantine.h. */
+int64_t control_prompt_admit(struct control *control,
+                             const struct quarantine_parts *parts);
+int64_t control_prompt_blocked_ms(struct control *control,
+                                  const struct quarantine_parts *parts);
+int control_prompt_suspicion(struct control *control,
+                             const struct quarantine_parts *parts);
+void control_prompt_crashed(struct control *control,
+                            const struct quarantine_parts *parts,
+                            const char *server);
+void control_prompt_answered(struct control *control,
+                             const struct quarantine_parts *parts);
+
 /* Called on the control task whenever the configuration or the membership
  * changed; both are borrowed for the call.  world is NULL until there is a
  * configuration. */
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -22,6 +22,7 @@
  *   watchers.c       which nodes watch the key-value service
  *   leaving.c        hosts that the platform is about to take away
  *   registry.c       servers that register themselves
+ *   prompt_parts.c   parts of prompts that crash servers
  *   retire.c         emptying this node on the operator's request
  *   rates.c          operators' rate limits
  *   status.c         the state as JSON
@@ -58,6 +59,7 @@
     CONTROL_RECALL,
     CONTROL_RECALLED,
     CONTROL_LOADS,
+    CONTROL_PROMPT_PARTS,
     CONTROL_N_KINDS,
 };
 
@@ -218,6 +220,17 @@
     int64_t grace_until_ms;
 };
 
+/* ---- prompt_parts.c ---- */
+
+struct control_prompt_parts {
+    GMutex lock; /* protects `quarantine`: any thread asks it */
+    struct quarantine quarantine;
+    int64_t next_round_ms;
+    int64_t next_expiry_ms;
+    struct base_counter *crashes;
+    struct base_counter *refusals;
+};
+
 /* ---- retire.c ---- */
 
 struct control_retire {
@@ -279,6 +292,7 @@
     struct control_leaving leaving;
     struct control_loads loads;
     struct control_registry registry;
+    struct control_prompt_parts prompt_parts;
     struct control_retire retire;
     struct control_rates *rates;
 };
@@ -439,7 +453,7 @@
                            const Control__News *update);
 void control_leaving_compare_digest(struct control *control,
                                     const char *address, uint64_t digest);
-uint64_t control_leaving_digest(const struct control *control);
+uint64_t control_leaving_digest(struct control *control);
 bool control_is_leaving(struct control *control, int server);
 void control_leaving_add_to(struct control *control, Control__News *update,
                             bool is_all);
@@ -456,6 +470,16 @@
                              bool is_all);
 void control_site_changed(struct control *control, struct world_site *site);
 
+/* prompt_parts.c */
+void control_prompt_parts_init(struct control *control);
+void control_prompt_parts_finish(struct control *control);
+void control_prompt_parts_tick(struct control *control);
+uint64_t control_prompt_parts_digest(struct control *control);
+void control_prompt_parts_send_all(struct control *control,
+                                   const char *address);
+bool control_prompt_parts_receive(struct control *control,
+                                  const struct wire_message *message);
+
 /* retire.c */
 void control_retire_watch(struct control *control, bool is_on);
 void control_retire_tick(struct control *control);
--- /dev/null
+++ b/packages/control/prompt_parts.c
@@ -0,0 +1,335 @@
+#include "control/control_private.h"
+
+enum {
+    FANOUT = 3,      /* peers that a round of changes goes to */
+    ROUND_MS = 100,  /* between rounds; equals the tick of an idle task */
+    EXPIRY_MS = 1000 /* between looks for records that may be dropped */
+};
+
+/* Initializes an empty quarantine. */
+void
+control_prompt_parts_init(struct control *control)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+
+    g_mutex_init(&prompt_parts->lock);
+    quarantine_init(
+        &prompt_parts->quarantine,
+        &(struct quarantine_desc){.node = base_hash_text(control->node, 0)});
+    prompt_parts->crashes =
+        base_counter(control->counters, "control_prompt_crashes_total");
+    prompt_parts->refusals =
+        base_counter(control->counters, "control_prompt_refusals_total");
+}
+
+/* Frees the quarantine. */
+void
+control_prompt_parts_finish(struct control *control)
+{
+    quarantine_finish(&control->prompt_parts.quarantine);
+    g_mutex_clear(&control->prompt_parts.lock);
+}
+
+/* ---- for other tasks ---- */
+
+/* Decides on a new request with these parts.  Returns 0 if it may be sent to a
+ * server, else in how many ms it may come back. */
+int64_t
+control_prompt_admit(struct control *control,
+                     const struct quarantine_parts *parts)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    int64_t wait_ms;
+
+    if (parts->n_parts == 0) {
+        return 0;
+    }
+    g_mutex_lock(&prompt_parts->lock);
+    wait_ms =
+        quarantine_admit(&prompt_parts->quarantine, parts, base_clock_ms());
+    g_mutex_unlock(&prompt_parts->lock);
+    if (wait_ms > 0) {
+        base_counter_add(prompt_parts->refusals, 1);
+    }
+    return wait_ms;
+}
+
+/* Returns for how many ms more an admitted request with these parts must not
+ * be sent to a server; 0: it may. */
+int64_t
+control_prompt_blocked_ms(struct control *control,
+                          const struct quarantine_parts *parts)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    int64_t blocked_ms;
+
+    if (parts->n_parts == 0) {
+        return 0;
+    }
+    g_mutex_lock(&prompt_parts->lock);
+    blocked_ms = quarantine_blocked_ms(&prompt_parts->quarantine, parts,
+                                       base_clock_ms());
+    g_mutex_unlock(&prompt_parts->lock);
+    return blocked_ms;
+}
+
+/* Returns the highest number of crashes that count against one of the
+ * parts. */
+int
+control_prompt_suspicion(struct control *control,
+                         const struct quarantine_parts *parts)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    int suspicion;
+
+    g_mutex_lock(&prompt_parts->lock);
+    suspicion = quarantine_suspicion(&prompt_parts->quarantine, parts);
+    g_mutex_unlock(&prompt_parts->lock);
+    return suspicion;
+}
+
+/* Notes that a server crashed before it answered a request with these
+ * parts. */
+void
+control_prompt_crashed(struct control *control,
+                       const struct quarantine_parts *parts,
+                       const char *server)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    int64_t now_ms = base_clock_ms();
+
+    if (parts->n_parts == 0) {
+        return;
+    }
+    base_counter_add(prompt_parts->crashes, 1);
+    for (int i = 0; i < parts->n_parts; i++) {
+        struct quarantine_parts part = {1, {parts->parts[i]}};
+        int suspicion;
+        int64_t blocked_ms;
+        g_mutex_lock(&prompt_parts->lock);
+        quarantine_note_crash(&prompt_parts->quarantine, &part,
+                              base_hash_text(server, 0), now_ms);
+        suspicion = quarantine_suspicion(&prompt_parts->quarantine, &part);
+        blocked_ms =
+            quarantine_blocked_ms(&prompt_parts->quarantine, &part, now_ms);
+        g_mutex_unlock(&prompt_parts->lock);
+        base_log(BASE_LOG_NOTICE, "prompt.crash",
+                 "part=%016" G_GINT64_MODIFIER
+                 "x server=%s crashes=%d blocked_ms=%" G_GINT64_FORMAT,
+                 parts->parts[i], server, suspicion, blocked_ms);
+    }
+}
+
+/* Notes that a server answered a request with these parts. */
+void
+control_prompt_answered(struct control *control,
+                        const struct quarantine_parts *parts)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+
+    if (parts->n_parts == 0) {
+        return;
+    }
+    g_mutex_lock(&prompt_parts->lock);
+    quarantine_note_answer(&prompt_parts->quarantine, parts, base_clock_ms());
+    g_mutex_unlock(&prompt_parts->lock);
+}
+
+/* ---- between nodes ---- */
+
+static void
+fill_part(Control__PromptPart *out, Control__PromptCrash *crashes,
+          Control__PromptCrash **pointers,
+          const struct quarantine_record *record)
+{
+    control__prompt_part__init(out);
+    out->part = record->part;
+    out->is_answered = record->answer_age_ms >= 0;
+    out->answer_age_ms = MAX(record->answer_age_ms, 0);
+    out->crashes = pointers;
+    for (int i = 0; i < record->n_crashes; i++) {
+        control__prompt_crash__init(&crashes[i]);
+        crashes[i].server = record->crashes[i].server;
+        crashes[i].age_ms = record->crashes[i].age_ms;
+        pointers[i] = &crashes[i];
+    }
+    out->n_crashes = (size_t)record->n_crashes;
+}
+
+/* Packs records of type struct quarantine_record. */
+static struct control_bytes
+pack_records(const GArray *records)
+{
+    Control__PromptParts message = CONTROL__PROMPT_PARTS__INIT;
+    size_t n_crashes = (size_t)records->len * QUARANTINE_MAX_CRASHES;
+    Control__PromptPart *parts = g_new(Control__PromptPart, records->len);
+    Control__PromptPart **part_pointers =
+        g_new(Control__PromptPart *, records->len);
+    Control__PromptCrash *crashes = g_new(Control__PromptCrash, n_crashes);
+    Control__PromptCrash **crash_pointers =
+        g_new(Control__PromptCrash *, n_crashes);
+    struct control_bytes bytes;
+
+    for (guint i = 0; i < records->len; i++) {
+        size_t first = (size_t)i * QUARANTINE_MAX_CRASHES;
+        fill_part(&parts[i], crashes + first, crash_pointers + first,
+                  &g_array_index(records, struct quarantine_record, i));
+        part_pointers[i] = &parts[i];
+    }
+    message.parts = part_pointers;
+    message.n_parts = records->len;
+    bytes = control_pack(&message.base);
+    g_free(crash_pointers);
+    g_free(crashes);
+    g_free(part_pointers);
+    g_free(parts);
+    return bytes;
+}
+
+static void
+send_records(struct control *control, const GArray *records,
+             const char *const *addresses, int n_addresses)
+{
+    struct control_bytes bytes = pack_records(records);
+
+    for (int i = 0; i < n_addresses; i++) {
+        wire_send(&control->endpoint, addresses[i], CONTROL_PROMPT_PARTS,
+                  bytes.data, bytes.size);
+    }
+    g_free(bytes.data);
+}
+
+static GArray *
+take_records(struct control *control, bool is_all)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    GArray *records;
+
+    g_mutex_lock(&prompt_parts->lock);
+    records =
+        quarantine_take(&prompt_parts->quarantine, is_all, control->now_ms);
+    g_mutex_unlock(&prompt_parts->lock);
+    return records;
+}
+
+/* Sends all records to a node, whose digest differs from this node's. */
+void
+control_prompt_parts_send_all(struct control *control, const char *address)
+{
+    GArray *records = take_records(control, true);
+
+    if (records != NULL) {
+        send_records(control, records, &address, 1);
+        g_array_free(records, TRUE);
+    }
+}
+
+static void
+broadcast_round(struct control *control)
+{
+    GArray *records = take_records(control, false);
+    const struct members_node *peers[FANOUT];
+    const char *addresses[FANOUT];
+    int n_peers;
+
+    if (records == NULL) {
+        return;
+    }
+    control->prompt_parts.next_round_ms = control->now_ms + ROUND_MS;
+    n_peers = members_pick(control->members, FANOUT, peers);
+    for (int i = 0; i < n_peers; i++) {
+        addresses[i] = peers[i]->control_address;
+    }
+    send_records(control, records, addresses, n_peers);
+    g_array_free(records, TRUE);
+}
+
+static bool
+read_part(const Control__PromptPart *in, struct quarantine_record *out)
+{
+    if (in->n_crashes > QUARANTINE_MAX_CRASHES) {
+        return false;
+    }
+    *out = (struct quarantine_record){
+        .part = in->part,
+        .n_crashes = (int)in->n_crashes,
+        .answer_age_ms = in->is_answered ? MAX(in->answer_age_ms, 0) : -1};
+    for (size_t i = 0; i < in->n_crashes; i++) {
+        out->crashes[i].server = in->crashes[i]->server;
+        out->crashes[i].age_ms = MAX(in->crashes[i]->age_ms, 0);
+    }
+    return true;
+}
+
+static void
+merge_part(struct control *control, const struct quarantine_record *record,
+           const char *sender)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    struct quarantine_parts part = {1, {record->part}};
+    int64_t blocked_ms;
+    bool is_new;
+
+    g_mutex_lock(&prompt_parts->lock);
+    is_new =
+        quarantine_merge(&prompt_parts->quarantine, record, control->now_ms);
+    blocked_ms = quarantine_blocked_ms(&prompt_parts->quarantine, &part,
+                                       control->now_ms);
+    g_mutex_unlock(&prompt_parts->lock);
+    if (is_new && blocked_ms > 0) {
+        base_log(BASE_LOG_NOTICE, "prompt.blocked",
+                 "part=%016" G_GINT64_MODIFIER "x blocked_ms=%" G_GINT64_FORMAT
+                 " from=%s",
+                 record->part, blocked_ms, sender);
+    }
+}
+
+/* Handles a peer's records; false if the message is malformed. */
+bool
+control_prompt_parts_receive(struct control *control,
+                             const struct wire_message *message)
+{
+    Control__PromptParts *parts =
+        control__prompt_parts__unpack(NULL, message->size, message->body);
+    bool is_ok = parts != NULL;
+
+    for (size_t i = 0; is_ok && i < parts->n_parts; i++) {
+        struct quarantine_record record;
+        is_ok = read_part(parts->parts[i], &record);
+        if (is_ok) {
+            merge_part(control, &record, message->sender);
+        }
+    }
+    control__prompt_parts__free_unpacked(parts, NULL);
+    return is_ok;
+}
+
+/* Returns a hash of the blocked parts. */
+uint64_t
+control_prompt_parts_digest(struct control *control)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+    uint64_t digest;
+
+    g_mutex_lock(&prompt_parts->lock);
+    digest = quarantine_digest(&prompt_parts->quarantine, control->now_ms);
+    g_mutex_unlock(&prompt_parts->lock);
+    return digest;
+}
+
+/* Sends the next round of changes if due, and drops old records. */
+void
+control_prompt_parts_tick(struct control *control)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+
+    if (control->now_ms >= prompt_parts->next_round_ms) {
+        broadcast_round(control);
+    }
+    if (control->now_ms >= prompt_parts->next_expiry_ms) {
+        prompt_parts->next_expiry_ms = control->now_ms + EXPIRY_MS;
+        g_mutex_lock(&prompt_parts->lock);
+        quarantine_expire(&prompt_parts->quarantine, control->now_ms);
+        g_mutex_unlock(&prompt_parts->lock);
+    }
+}
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -669,4 +669,40 @@
     }));
 }
 
+/* Each node saw one crash; together they know the part, and a node that starts
+ * later learns it. */
+TEST(Control, APartThatCrashesServersIsBlockedOnAllNodes)
+{
+    enum { BETWEEN_CRASHES_US = 400000 };
+    struct quarantine_parts culprit = {1, {7}};
+    struct quarantine_parts shared = {1, {8}};
+    struct quarantine_parts both = {2, {8, 7}};
+    Fleet fleet(3);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    control_prompt_crashed(fleet.at(0), &both, "e0");
+    g_usleep(BETWEEN_CRASHES_US);
+    control_prompt_crashed(fleet.at(1), &both, "e1");
+    control_prompt_answered(fleet.at(1), &shared);
+    g_usleep(BETWEEN_CRASHES_US);
+    control_prompt_crashed(fleet.at(2), &both, "e2");
+    auto all_block = [&] {
+        return fleet.task.until([&] {
+            for (auto &node : fleet.nodes) {
+                if (control_prompt_blocked_ms(node->control, &culprit) == 0) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    };
+    EXPECT_TRUE(all_block());
+    fleet.nodes.push_back(std::make_unique<TestNode>(
+        "n3", "etela-a", fleet.nodes[0]->address()));
+    EXPECT_TRUE(all_block());
+    for (auto &node : fleet.nodes) {
+        EXPECT_EQ(control_prompt_blocked_ms(node->control, &shared), 0);
+        EXPECT_GT(control_prompt_admit(node->control, &both), 0);
+    }
+}
+
 } // namespace
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -195,6 +195,23 @@
     }
 }
 
+/* Refuses a request whose prompt was blocked while it waited for the grant. */
+static bool
+refuse_granted(struct attempt *attempt,
+               const struct control_admission *admission)
+{
+    struct exchange *exchange = attempt->exchange;
+    struct front *front = attempt->front;
+
+    /* A refusal frees the attempt, and does not release the contract of one
+     * that was never sent. */
+    if (!exchange_refuse_if_blocked(exchange)) {
+        return false;
+    }
+    release_unused(front, admission);
+    return true;
+}
+
 static void
 apply_admission(struct attempt *attempt,
                 const struct control_admission *admission)
@@ -209,6 +226,9 @@
             try_next_server(attempt);
             return;
         }
+        if (refuse_granted(attempt, admission)) {
+            return;
+        }
         send_request(attempt);
         return;
     case CONTRACTS_BUSY:
--- a/packages/front/exchange.c
+++ b/packages/front/exchange.c
@@ -4,6 +4,8 @@
 
 static const struct front_fault NO_SERVER = {503, BASE_NOT_RUN, "server_error",
                                              "no_server", 1};
+static const struct front_fault PROMPT_BLOCKED = {
+    503, BASE_NOT_RUN, "server_error", "prompt_blocked", 0};
 static const struct front_fault OVER_SHARE = {
     429, BASE_NOT_RUN, "rate_limit_error", "overloaded", 1};
 static const struct front_fault DEADLINE = {504, BASE_NOT_RUN, "server_error",
@@ -11,6 +13,10 @@
 static const struct front_fault UPSTREAM = {
     502, BASE_MAY_HAVE_RUN, "server_error", "upstream_failed", 0};
 
+/* A server that has sent this many tokens or events has not crashed when it
+ * began to answer. */
+enum { ANSWERED_TOKENS = 2 };
+
 /* Prepares a zeroed exchange for a request that front_admit has admitted;
  * exchange_finish frees its contents. */
 void
@@ -178,6 +184,28 @@
     return share > 0 && g_random_double() < share;
 }
 
+static void
+refuse_blocked(struct exchange *exchange, int64_t retry_after_ms)
+{
+    exchange->retry_after_ms = retry_after_ms;
+    fail(exchange, &PROMPT_BLOCKED,
+         "a part of the prompt has crashed backend servers");
+}
+
+/* Refuses the request if a part of its prompt was found to crash servers while
+ * it waited. */
+bool
+exchange_refuse_if_blocked(struct exchange *exchange)
+{
+    int64_t blocked_ms =
+        control_prompt_blocked_ms(exchange->front->control, &exchange->parts);
+
+    if (blocked_ms > 0) {
+        refuse_blocked(exchange, blocked_ms);
+    }
+    return blocked_ms > 0;
+}
+
 /* Starts the first attempt.  ops->completed or ops->failed is called with the
  * result, possibly before this returns. */
 void
@@ -185,12 +213,18 @@
 {
     struct front *front = exchange->front;
     int64_t left_ms = exchange->request->deadline_ms - base_clock_ms();
+    int64_t blocked_ms;
 
     if (!front->is_naive && is_refused_by_reduction(exchange)) {
         fail(exchange, &OVER_SHARE,
              "overload: requests of this class are being reduced");
         return;
     }
+    blocked_ms = control_prompt_admit(front->control, &exchange->parts);
+    if (blocked_ms > 0) {
+        refuse_blocked(exchange, blocked_ms);
+        return;
+    }
     place_count_request(front->place, exchange->operator_index,
                         base_clock_ms());
     lws_sul_schedule(front->lws, 0, &exchange->deadline_timer, on_deadline,
@@ -249,6 +283,17 @@
     }
 }
 
+/* Returns whether the request may be what crashes the servers: a part of its
+ * prompt was on several that crashed. */
+static bool
+is_suspect(const struct exchange *exchange)
+{
+    enum { SUSPECT_CRASHES = 2 };
+
+    return control_prompt_suspicion(exchange->front->control,
+                                    &exchange->parts) >= SUSPECT_CRASHES;
+}
+
 /* Returns whether another attempt may start after one with this verdict, which
  * may still be running.  If it may, it is deducted from the retry budget. */
 bool
@@ -262,6 +307,9 @@
     if (verdict != BASE_NOT_RUN && !exchange->choice.is_idempotent) {
         return false;
     }
+    if (exchange->n_crashes > 0 && is_suspect(exchange)) {
+        return false;
+    }
     if (exchange->max_runs > 0 && exchange->n_runs >= exchange->max_runs) {
         return false;
     }
@@ -345,6 +393,9 @@
                                   now_us - exchange->request->started_us);
     }
     attempt->tokens++;
+    if (attempt->tokens == ANSWERED_TOKENS) {
+        control_prompt_answered(front->control, &exchange->parts);
+    }
     attempt->last_token_us = now_us;
     exchange->tokens++;
     base_counter_add(front->metrics.tokens, 1);
@@ -359,6 +410,7 @@
     stop_timers(exchange);
     exchange->is_ended = true;
     attempt->is_complete = true;
+    control_prompt_answered(exchange->front->control, &exchange->parts);
     attempt_release_contract(attempt, false);
     exchange->ops->completed(exchange, attempt);
     attempt_stop(attempt, false);
@@ -398,6 +450,22 @@
            (result->status >= 500 && result->verdict != BASE_NOT_RUN);
 }
 
+/* Notes a crash of the server if the request was on it and has never been
+ * answered: a broken connection may be a crash, and a request whose output had
+ * begun did not cause it. */
+static void
+note_crash(struct exchange *exchange, const struct attempt *attempt,
+           const struct backends_result *result)
+{
+    if (result->err.code != BASE_UNAVAILABLE ||
+        result->verdict != BASE_MAY_HAVE_RUN || exchange->tokens > 0) {
+        return;
+    }
+    exchange->n_crashes++;
+    control_prompt_crashed(exchange->front->control, &exchange->parts,
+                           attempt->server_name);
+}
+
 static void
 note_failure(struct exchange *exchange, const struct attempt *attempt,
              const struct backends_result *result)
@@ -443,6 +511,7 @@
         exchange->winner = NULL;
     }
     note_failure(exchange, attempt, result);
+    note_crash(exchange, attempt, result);
     exchange_note_tried(exchange, attempt->server);
     attempt_release_contract(attempt, is_servers_fault(exchange, result));
     attempt_free(attempt);
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -118,11 +118,14 @@
     int64_t target_ms;        /* target time to first event or byte; 0: none */
     int64_t first_output_ms;  /* timeout of first event or byte; 0: default */
     const char *resume_after; /* id of the last event; NULL: none */
+    struct quarantine_parts parts; /* of the prompt, at the deployment */
     /* progress */
     struct attempt *active[EXCHANGE_MAX_PARALLEL]; /* NULL: none */
     struct attempt *winner; /* its response goes to the caller */
     int n_attempts;         /* attempts sent so far */
     int n_runs;             /* attempts that the server may have run */
+    int n_crashes;          /* attempts on servers that seem to have crashed */
+    int64_t retry_after_ms; /* for the caller of a refusal; 0: default */
     bool was_hedged;
     bool is_ended;
     bool is_committed; /* part of a response that can't resume was sent */
@@ -165,6 +168,7 @@
 
 /* exchange.c, called by attempt.c */
 void exchange_sync_world(struct exchange *exchange);
+bool exchange_refuse_if_blocked(struct exchange *exchange);
 void exchange_on_no_contract(struct exchange *exchange,
                              struct attempt *attempt,
                              enum contracts_answer answer);
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -291,16 +291,17 @@
             attempt->relayed_headers, attempt->buffered_body);
 }
 
-/* Responds 503: the request was not run and may be tried again. */
+/* Responds 503: the request was not run and may be tried again after
+ * retry_after_ms. */
 static void
-refuse(struct front_request *request, const char *text)
+refuse(struct front_request *request, int64_t retry_after_ms, const char *text)
 {
     static const struct front_fault BUSY = {503, BASE_NOT_RUN, "server_error",
                                             "overloaded", 0};
     char seconds[16];
 
-    g_snprintf(seconds, sizeof(seconds), "%d.%03d", RETRY_AFTER_MS / 1000,
-               RETRY_AFTER_MS % 1000);
+    g_snprintf(seconds, sizeof(seconds), "%d.%03d",
+               (int)(retry_after_ms / 1000), (int)(retry_after_ms % 1000));
     front_add_header(request, "retry-after", seconds);
     front_fail(request, &BUSY, "%s", text);
 }
@@ -326,7 +327,10 @@
                 ingress->failed_body);
     }
     else if (fault->verdict == BASE_NOT_RUN) {
-        refuse(request, text);
+        refuse(request,
+               exchange->retry_after_ms > 0 ? exchange->retry_after_ms
+                                            : RETRY_AFTER_MS,
+               text);
     }
     else {
         front_fail(request, fault, "%s", text);
@@ -436,6 +440,11 @@
     }
     protocol->read_prompt(get_header, request, &prompt);
     exchange->choice.prefix_key = prompt.shared_key;
+    if (protocol->read_parts != NULL) {
+        protocol->read_parts(get_header, request, &exchange->parts);
+        quarantine_scope(&exchange->parts,
+                         request->world->deployments[deployment].name);
+    }
 }
 
 static void
@@ -448,7 +457,7 @@
 
     request->class_name = route->name;
     if (deployment == WORLD_NONE) {
-        refuse(request, "the route has no service");
+        refuse(request, RETRY_AFTER_MS, "the route has no service");
         return;
     }
     ingress = g_new0(struct ingress, 1);
--- a/packages/front/protocol.h
+++ b/packages/front/protocol.h
@@ -60,6 +60,11 @@
                                               const char *name),
                         const void *context,
                         struct front_protocol_prompt *out);
+    /* Reads the parts of the prompt that other requests may share.  NULL:
+     * prompts have no parts. */
+    void (*read_parts)(const char *(*header)(const void *context,
+                                             const char *name),
+                       const void *context, struct quarantine_parts *out);
     /* batch jobs */
     const char *results_after; /* query parameter: first position to read */
     const char *input_item;    /* query parameter: item to read */
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -24,6 +24,19 @@
 {
 }
 
+/* The header x-parts lists letters; the last one is the request's own. */
+void
+read_parts(const char *(*header)(const void *, const char *),
+           const void *context, struct quarantine_parts *out)
+{
+    const char *parts = header(context, "x-parts");
+
+    out->n_parts = 0;
+    for (; parts != nullptr && parts[0] != '\0' && parts[1] != '\0'; parts++) {
+        out->parts[out->n_parts++] = (uint64_t)parts[0];
+    }
+}
+
 const char *const RELAYED_HEADERS[] = {"x-proof", nullptr};
 
 struct front_protocol
@@ -40,6 +53,7 @@
     protocol.misdirected_status = 421;
     protocol.find_call = find_call;
     protocol.read_prompt = read_prompt;
+    protocol.read_parts = read_parts;
     return protocol;
 }
 
@@ -371,6 +385,35 @@
     EXPECT_EQ(answer.headers["x-cardamompick-ran"], "maybe");
 }
 
+/* Part "x" crashes each server that begins to answer a request with it; "s" is
+ * shared with sound requests. */
+TEST_F(Ingress, RequestsWithAPartThatCrashesServersEndAfterAFew)
+{
+    enum { N_REQUESTS = 20 };
+    std::atomic<int> n_crashes{0};
+    struct test_server engine([&](int fd, const std::string &request) {
+        if (test_header(request, "x-parts").find('x') != std::string::npos) {
+            n_crashes++;
+            test_write(fd, stream_head(request));
+            return;
+        }
+        serve_stream(fd, request);
+    });
+    begin({&engine});
+    struct answer answer;
+    for (int i = 0; i < N_REQUESTS; i++) {
+        answer = ask(post("/a/x", "b", "x-parts: sxo\r\n"));
+        EXPECT_NE(answer.status, 200);
+        answer = ask(post("/a/x", "b", "x-parts: sbo\r\n"));
+        EXPECT_EQ(answer.status, 200) << "a sound request";
+    }
+    EXPECT_EQ(n_crashes, 3);
+    answer = ask(post("/a/x", "b", "x-parts: sxo\r\n"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.headers["x-cardamompick-ran"], "no");
+    EXPECT_GE(atof(answer.headers["retry-after"].c_str()), 1.0);
+}
+
 TEST_F(Ingress, RelaysAServersErrorUnchanged)
 {
     struct test_server engine([](int fd, const std::string &request) {
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -109,6 +109,54 @@
     fakes.n_bad_releases++;
 }
 
+/* Crashes are 1,000 ms apart, each of another server. */
+int64_t
+control_prompt_admit(struct control *control,
+                     const struct quarantine_parts *parts)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    return quarantine_admit(&fakes.prompts.quarantine, parts,
+                            fakes.prompts.now_ms);
+}
+
+int64_t
+control_prompt_blocked_ms(struct control *control,
+                          const struct quarantine_parts *parts)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    return quarantine_blocked_ms(&fakes.prompts.quarantine, parts,
+                                 fakes.prompts.now_ms);
+}
+
+int
+control_prompt_suspicion(struct control *control,
+                         const struct quarantine_parts *parts)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    return quarantine_suspicion(&fakes.prompts.quarantine, parts);
+}
+
+void
+control_prompt_crashed(struct control *control,
+                       const struct quarantine_parts *parts,
+                       const char *server)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    fakes.prompts.now_ms += 1000;
+    quarantine_note_crash(&fakes.prompts.quarantine, parts,
+                          (uint64_t)fakes.prompts.now_ms,
+                          fakes.prompts.now_ms);
+}
+
+void
+control_prompt_answered(struct control *control,
+                        const struct quarantine_parts *parts)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    quarantine_note_answer(&fakes.prompts.quarantine, parts,
+                           fakes.prompts.now_ms);
+}
+
 bool
 control_rate_allow(struct control *control, const char *operator_name,
                    int count)
@@ -315,6 +363,7 @@
     fakes.content.clear();
     fakes.config_log.clear();
     fakes.upload_status = 200;
+    fakes.prompts.forget();
 }
 
 void
--- a/packages/front/test_support.h
+++ b/packages/front/test_support.h
@@ -36,8 +36,37 @@
 
 /* What the fakes answer and what they have received.  The front's task calls
  * them from its thread, so a test locks `lock` to access what may change. */
+/* The parts of prompts that crash servers, as this node knows them. */
+struct FakePrompts {
+    struct quarantine quarantine;
+    int64_t now_ms = 0;
+
+    FakePrompts()
+    {
+        begin();
+    }
+    ~FakePrompts()
+    {
+        quarantine_finish(&quarantine);
+    }
+    void
+    begin()
+    {
+        struct quarantine_desc desc = {};
+        quarantine_init(&quarantine, &desc);
+        now_ms = 0;
+    }
+    void
+    forget()
+    {
+        quarantine_finish(&quarantine);
+        begin();
+    }
+};
+
 struct fakes {
     std::mutex lock;
+    FakePrompts prompts;
     /* admission and contracts */
     /* Answers of the next admission requests; later ones are granted. */
     std::deque<enum contracts_answer> answers;
--- a/packages/jobs/admission.c
+++ b/packages/jobs/admission.c
@@ -20,6 +20,9 @@
      * fails, the server's owner frees the slots of that node by itself. */
     TERM_MS = 20000,
     BACK_OFF_MS = 150, /* after all servers were busy */
+    /* Between looks at whether a part of the prompt is still blocked: it may
+     * be cleared early. */
+    MAX_HOLD_MS = 2000,
 };
 
 static void try_next_server(struct jobs_work *work);
@@ -42,6 +45,24 @@
     }
 }
 
+/* Holds an item back for blocked_ms, because a part of its prompt is known to
+ * crash servers.  Returns false if that is 0. */
+static bool
+hold_if_blocked(struct jobs_work *work, int64_t blocked_ms)
+{
+    const struct jobs_item *item = work->run->job->items->pdata[work->index];
+
+    if (blocked_ms == 0) {
+        return false;
+    }
+    base_log(BASE_LOG_INFO, "jobs.item_held",
+             "job=%s item=%s blocked_ms=%" G_GINT64_FORMAT
+             " reason=\"a part of the prompt has crashed servers\"",
+             work->run->head.id, item->id, blocked_ms);
+    back_off(work, MIN(blocked_ms, MAX_HOLD_MS));
+    return true;
+}
+
 static void
 mark_tried(struct jobs_work *work, int server)
 {
@@ -69,6 +90,12 @@
 {
     struct jobs *jobs = work->run->jobs;
 
+    if (admission->answer == CONTRACTS_GRANTED && work->server != WORLD_NONE &&
+        hold_if_blocked(
+            work, control_prompt_blocked_ms(jobs->control, &work->parts))) {
+        release_unused(jobs, admission->contract);
+        return;
+    }
     if (admission->answer == CONTRACTS_GRANTED && work->server != WORLD_NONE) {
         work->contract = admission->contract;
         work->state = JOBS_WORK_RUNNING;
@@ -218,7 +245,11 @@
     work->knows_pools = false;
     work->state = JOBS_WORK_ADMITTING;
     work->run->n_active++;
-    try_next_server(work);
+    jobs_work_read_parts(work);
+    if (!hold_if_blocked(work,
+                         control_prompt_admit(jobs->control, &work->parts))) {
+        try_next_server(work);
+    }
 }
 
 /* Returns the rank of a job, lowest first: its due time.  Jobs that are late
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -9,6 +9,9 @@
     REFUSED_RETRY_MS = 100, /* after a refusal, times n_refusals; else once */
     FAILED_RETRY_MS = 200,  /* after a failure, times the failures so far */
     MAX_BACK_OFF_FACTOR = 10, /* limit of the factor for these delays */
+    /* A server that has sent this many events has not crashed when it began to
+     * answer. */
+    ANSWERED_EVENTS = 2,
     STATUS_OK = 200,
     STATUS_UNPROCESSABLE = 422, /* the item can never succeed */
     STATUS_FAILED = 500,
@@ -56,6 +59,41 @@
     }
 }
 
+static const char *
+find_header(const struct jobs_item *item, const char *name)
+{
+    for (guint i = 0; i + 1 < item->headers->len; i += 2) {
+        if (g_ascii_strcasecmp(item->headers->pdata[i], name) == 0) {
+            return item->headers->pdata[i + 1];
+        }
+    }
+    return NULL;
+}
+
+static const char *
+find_item_header(const void *context, const char *name)
+{
+    return find_header(context, name);
+}
+
+/* Reads the parts of the item's prompt for the deployment that it is going to
+ * run at. */
+void
+jobs_work_read_parts(struct jobs_work *work)
+{
+    struct jobs *jobs = work->run->jobs;
+    int deployment = work->choice.deployment;
+
+    work->parts.n_parts = 0;
+    if (jobs->read_parts != NULL && deployment != WORLD_NONE) {
+        jobs->read_parts(find_item_header,
+                         work->run->job->items->pdata[work->index],
+                         &work->parts);
+        quarantine_scope(&work->parts,
+                         jobs->world->deployments[deployment].name);
+    }
+}
+
 static void
 delay_retry(struct jobs_work *work, int64_t wait_ms)
 {
@@ -164,6 +202,24 @@
         work->first_event_us = base_clock_us();
         work->n_refusals = 0;
     }
+    if (!work->is_answered &&
+        work->events.count >= work->n_earlier_events + ANSWERED_EVENTS) {
+        work->is_answered = true;
+        control_prompt_answered(work->run->jobs->control, &work->parts);
+    }
+}
+
+/* Notes a crash of the server if the item was on it and has never been
+ * answered. */
+static void
+note_crash(const struct jobs_work *work, const struct backends_result *result)
+{
+    if (result->err.code == BASE_UNAVAILABLE &&
+        result->verdict == BASE_MAY_HAVE_RUN && !work->is_preempted &&
+        work->events.count == 0) {
+        control_prompt_crashed(work->run->jobs->control, &work->parts,
+                               work->server_name);
+    }
 }
 
 static void
@@ -178,6 +234,7 @@
     run->n_active--;
     run->n_references--;
     jobs_work_release_contract(work, is_servers_fault(work, result));
+    note_crash(work, result);
     if (run->has_stopped) {
         work->state = JOBS_WORK_WAITING;
         return;
@@ -202,17 +259,6 @@
     return false;
 }
 
-static const char *
-find_header(const struct jobs_item *item, const char *name)
-{
-    for (guint i = 0; i + 1 < item->headers->len; i += 2) {
-        if (g_ascii_strcasecmp(item->headers->pdata[i], name) == 0) {
-            return item->headers->pdata[i + 1];
-        }
-    }
-    return NULL;
-}
-
 static void
 add_header(GPtrArray *headers, const char *name, const char *value)
 {
@@ -256,6 +302,7 @@
     work->status = 0;
     work->is_stream = false;
     work->is_preempted = false;
+    work->is_answered = false;
     if (resumes) {
         base_counter_add(work->run->jobs->n_resumes, 1);
     }
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -460,6 +460,7 @@
     jobs->control = desc->control;
     jobs->names = desc->names;
     jobs->decode = desc->decode;
+    jobs->read_parts = desc->read_parts;
     jobs->lease_ms = desc->lease_ms > 0 ? desc->lease_ms : LEASE_MS;
     make_counters(jobs, desc->counters);
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -167,6 +167,12 @@
      * invalid.  Runs on the jobs task. */
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
+    /* Reads the parts of an item's prompt that other requests may share; the
+     * callback `header` returns a header's value by name, or NULL.  NULL:
+     * prompts have no parts. */
+    void (*read_parts)(const char *(*header)(const void *context,
+                                             const char *name),
+                       const void *context, struct quarantine_parts *out);
     const char *rpc_address; /* "IP:port" for RPCs between nodes; NULL: none */
     /* CURVE keys of the RPC endpoint; NULL: no CURVE */
     const char *public_key_file;
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -60,6 +60,7 @@
     int n_refusals;            /* refused attempts since the last new event */
     int64_t not_before_ms;     /* earliest next attempt in JOBS_WORK_WAITING */
     bool is_completed;         /* valid in JOBS_WORK_DONE */
+    struct quarantine_parts parts; /* of the prompt, at the deployment */
     /* admission */
     struct place_request choice;
     int n_requested;          /* servers asked for admission so far */
@@ -76,8 +77,9 @@
     struct base_handle call;
     int status;
     bool is_stream;
-    bool is_preempted;        /* cancelled: preempted, or the run stops */
-    int64_t sent_at_us;       /* time when it was sent, on base_clock_us */
+    bool is_answered;   /* events enough to clear the parts of the prompt */
+    bool is_preempted;  /* cancelled: preempted, or the run stops */
+    int64_t sent_at_us; /* time when it was sent, on base_clock_us */
     int64_t first_event_us;   /* arrival of the first new event; 0: none yet */
     int64_t n_earlier_events; /* events received before this attempt */
 };
@@ -135,6 +137,9 @@
     struct control *control;
     struct base_counters *counters;
     struct jobs_header_names names;
+    void (*read_parts)(const char *(*header)(const void *context,
+                                             const char *name),
+                       const void *context, struct quarantine_parts *out);
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
     int64_t lease_ms;
@@ -277,6 +282,7 @@
 void jobs_dispatch(struct jobs *jobs, int64_t now_ms);
 void jobs_work_release_contract(struct jobs_work *work, bool is_servers_fault);
 int jobs_work_find_server(const struct jobs_work *work);
+void jobs_work_read_parts(struct jobs_work *work);
 void jobs_work_send(struct jobs_work *work);
 void jobs_work_cancel(struct jobs_work *work);
 void jobs_preempt(void *task_state, uint64_t contract, int slots);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -227,6 +227,7 @@
                   .refused_not_run = protocol->refused_not_run,
                   .misdirected_status = protocol->misdirected_status},
         .decode = protocol->decode_job,
+        .read_parts = protocol->read_parts,
         .life = node->life,
         .rpc_address = settings->site.jobs,
         .public_key_file = settings->public_key_file,
--- /dev/null
+++ b/packages/quarantine/quarantine.c
@@ -0,0 +1,451 @@
+#include "quarantine/quarantine.h"
+
+#include <string.h>
+
+enum {
+    DEFAULT_MAX_CRASHES = 3,
+    DEFAULT_SPACING_MS = 200, /* longer than a crash takes to be noticed by
+                                 all nodes, shorter than most servers start */
+    DEFAULT_BLOCK_MS = 10000,
+    MAX_DOUBLINGS = 5, /* of the time for which a part is blocked */
+    DEFAULT_RETRY_MS = 2000,
+    FORGET_MS = 120000, /* after the last change of a part not blocked */
+    DEFAULT_MAX_RECORDS = 512,
+    /* Reports of one server within this time are of one crash: a server needs
+     * longer to start again. */
+    SAME_CRASH_MS = 1000,
+    ROUNDS = 4, /* rounds in which a change is taken for the peers */
+};
+
+struct crash {
+    uint64_t server;
+    int64_t at_ms;
+};
+
+struct entry {
+    uint64_t part;
+    struct crash crashes[QUARANTINE_MAX_CRASHES]; /* by time */
+    int n_crashes;
+    int64_t answered_ms; /* time of the last answer */
+    bool is_answered;
+    int64_t changed_ms;
+    int64_t tried_ms; /* last time this node admitted a try; 0: never */
+    int rounds;       /* remaining rounds that take the entry */
+};
+
+/* Initializes an empty quarantine. */
+void
+quarantine_init(struct quarantine *quarantine,
+                const struct quarantine_desc *desc)
+{
+    quarantine->desc = *desc;
+    if (desc->max_crashes == 0) {
+        quarantine->desc.max_crashes = DEFAULT_MAX_CRASHES;
+    }
+    if (desc->spacing_ms == 0) {
+        quarantine->desc.spacing_ms = DEFAULT_SPACING_MS;
+    }
+    if (desc->block_ms == 0) {
+        quarantine->desc.block_ms = DEFAULT_BLOCK_MS;
+    }
+    if (desc->retry_ms == 0) {
+        quarantine->desc.retry_ms = DEFAULT_RETRY_MS;
+    }
+    if (desc->max_records == 0) {
+        quarantine->desc.max_records = DEFAULT_MAX_RECORDS;
+    }
+    quarantine->entries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+/* Frees the contents. */
+void
+quarantine_finish(struct quarantine *quarantine)
+{
+    g_hash_table_destroy(quarantine->entries);
+}
+
+/* Makes the hashes those of the parts at one deployment: a part may crash the
+ * servers of one and be answered by another. */
+void
+quarantine_scope(struct quarantine_parts *parts, const char *deployment)
+{
+    for (int i = 0; i < parts->n_parts; i++) {
+        parts->parts[i] = base_hash_text(deployment, parts->parts[i]);
+    }
+}
+
+/* ---- judgement ---- */
+
+static struct entry *
+find_entry(const struct quarantine *quarantine, uint64_t part)
+{
+    return g_hash_table_lookup(quarantine->entries, &part);
+}
+
+/* The crashes of a part since its last answer. */
+struct judgement {
+    int n_crashes;            /* that count */
+    int64_t blocked_until_ms; /* 0: never blocked */
+};
+
+/* Crashes while the part is blocked are of requests sent before; one after
+ * that doubles the time. */
+static struct judgement
+judge(const struct quarantine *quarantine, const struct entry *entry)
+{
+    const struct quarantine_desc *desc = &quarantine->desc;
+    struct judgement judgement = {0, 0};
+    int64_t last_ms = 0;
+    int n_doublings = 0;
+
+    for (int i = 0; i < entry->n_crashes; i++) {
+        int64_t at_ms = entry->crashes[i].at_ms;
+        if ((entry->is_answered && at_ms <= entry->answered_ms) ||
+            at_ms < judgement.blocked_until_ms ||
+            (judgement.n_crashes > 0 && at_ms - last_ms < desc->spacing_ms)) {
+            continue;
+        }
+        judgement.n_crashes++;
+        last_ms = at_ms;
+        if (judgement.n_crashes >= desc->max_crashes) {
+            judgement.blocked_until_ms =
+                at_ms + (desc->block_ms << MIN(n_doublings, MAX_DOUBLINGS));
+            n_doublings++;
+        }
+    }
+    return judgement;
+}
+
+/* Returns for how many ms more requests with one of these parts must not reach
+ * a server; 0: they may. */
+int64_t
+quarantine_blocked_ms(const struct quarantine *quarantine,
+                      const struct quarantine_parts *parts, int64_t now_ms)
+{
+    int64_t blocked_ms = 0;
+
+    for (int i = 0; i < parts->n_parts; i++) {
+        const struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (entry != NULL) {
+            blocked_ms =
+                MAX(blocked_ms,
+                    judge(quarantine, entry).blocked_until_ms - now_ms);
+        }
+    }
+    return blocked_ms;
+}
+
+/* Returns the time from which this node tries a part again.  Nodes wait up to
+ * a quarter of block_ms longer than needed, so that most hear what became of
+ * the first try. */
+static int64_t
+next_try_ms(const struct quarantine *quarantine, const struct entry *entry,
+            int64_t blocked_until_ms)
+{
+    const struct quarantine_desc *desc = &quarantine->desc;
+    uint64_t delay_ms =
+        base_hash(&entry->part, sizeof(entry->part), desc->node) %
+        (uint64_t)MAX(desc->block_ms / 4, 1);
+    int64_t at_ms = blocked_until_ms + (int64_t)delay_ms;
+
+    return entry->tried_ms == 0 ? at_ms
+                                : MAX(at_ms, entry->tried_ms + desc->retry_ms);
+}
+
+/* Decides on a new request with these parts.  Returns 0 if it may reach a
+ * server, else in how many ms to come back.  Of the requests with a part that
+ * was blocked, it admits one at a time, until an answer clears the part. */
+int64_t
+quarantine_admit(struct quarantine *quarantine,
+                 const struct quarantine_parts *parts, int64_t now_ms)
+{
+    int64_t wait_ms = 0;
+
+    for (int i = 0; i < parts->n_parts; i++) {
+        const struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        int64_t until_ms =
+            entry == NULL ? 0 : judge(quarantine, entry).blocked_until_ms;
+        if (until_ms != 0) {
+            wait_ms = MAX(wait_ms,
+                          next_try_ms(quarantine, entry, until_ms) - now_ms);
+        }
+    }
+    for (int i = 0; wait_ms == 0 && i < parts->n_parts; i++) {
+        struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (entry != NULL && judge(quarantine, entry).blocked_until_ms != 0) {
+            entry->tried_ms = now_ms;
+        }
+    }
+    return wait_ms;
+}
+
+/* Returns the highest number of crashes that count against one of the
+ * parts. */
+int
+quarantine_suspicion(const struct quarantine *quarantine,
+                     const struct quarantine_parts *parts)
+{
+    int most = 0;
+
+    for (int i = 0; i < parts->n_parts; i++) {
+        const struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (entry != NULL) {
+            most = MAX(most, judge(quarantine, entry).n_crashes);
+        }
+    }
+    return most;
+}
+
+/* ---- evidence ---- */
+
+/* Whether `a` is dropped before `b`: parts with fewer crashes first, then
+ * those that changed least recently. */
+static bool
+is_dropped_before(const struct quarantine *quarantine, const struct entry *a,
+                  const struct entry *b)
+{
+    int n_a = judge(quarantine, a).n_crashes;
+    int n_b = judge(quarantine, b).n_crashes;
+
+    return n_a != n_b ? n_a < n_b : a->changed_ms < b->changed_ms;
+}
+
+static void
+drop_one(struct quarantine *quarantine)
+{
+    GHashTableIter iter;
+    gpointer value;
+    const struct entry *first = NULL;
+
+    g_hash_table_iter_init(&iter, quarantine->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct entry *entry = value;
+        if (first == NULL || is_dropped_before(quarantine, entry, first)) {
+            first = entry;
+        }
+    }
+    if (first != NULL) {
+        g_hash_table_remove(quarantine->entries, &first->part);
+    }
+}
+
+static struct entry *
+find_or_add(struct quarantine *quarantine, uint64_t part)
+{
+    struct entry *entry = find_entry(quarantine, part);
+
+    if (entry != NULL) {
+        return entry;
+    }
+    if ((int)g_hash_table_size(quarantine->entries) >=
+        quarantine->desc.max_records) {
+        drop_one(quarantine);
+    }
+    entry = g_new0(struct entry, 1);
+    entry->part = part;
+    g_hash_table_insert(quarantine->entries, &entry->part, entry);
+    return entry;
+}
+
+static bool
+is_same_crash(const struct crash *crash, uint64_t server, int64_t at_ms)
+{
+    return crash->server == server &&
+           ABS(crash->at_ms - at_ms) < SAME_CRASH_MS;
+}
+
+static void
+sort_crashes(struct entry *entry)
+{
+    for (int i = 1; i < entry->n_crashes; i++) {
+        struct crash moved = entry->crashes[i];
+        int to = i;
+        while (to > 0 && entry->crashes[to - 1].at_ms > moved.at_ms) {
+            entry->crashes[to] = entry->crashes[to - 1];
+            to--;
+        }
+        entry->crashes[to] = moved;
+    }
+}
+
+/* Adds a crash; of several reports of one crash the earliest time stays.
+ * Returns false if it was known, or older than all of a full record. */
+static bool
+add_crash(struct entry *entry, uint64_t server, int64_t at_ms)
+{
+    for (int i = 0; i < entry->n_crashes; i++) {
+        struct crash *crash = &entry->crashes[i];
+        if (is_same_crash(crash, server, at_ms)) {
+            crash->at_ms = MIN(crash->at_ms, at_ms);
+            sort_crashes(entry);
+            return false;
+        }
+    }
+    if (entry->n_crashes == QUARANTINE_MAX_CRASHES) {
+        if (at_ms <= entry->crashes[0].at_ms) {
+            return false;
+        }
+        entry->n_crashes--;
+        memmove(entry->crashes, entry->crashes + 1,
+                (size_t)entry->n_crashes * sizeof(entry->crashes[0]));
+    }
+    entry->crashes[entry->n_crashes++] = (struct crash){server, at_ms};
+    sort_crashes(entry);
+    return true;
+}
+
+static void
+note_change(struct entry *entry, int64_t now_ms)
+{
+    entry->changed_ms = now_ms;
+    entry->rounds = ROUNDS;
+}
+
+/* Notes that a server, given by the hash of its name, crashed while it had not
+ * begun to answer a request with these parts. */
+void
+quarantine_note_crash(struct quarantine *quarantine,
+                      const struct quarantine_parts *parts, uint64_t server,
+                      int64_t now_ms)
+{
+    for (int i = 0; i < parts->n_parts; i++) {
+        struct entry *entry = find_or_add(quarantine, parts->parts[i]);
+        if (add_crash(entry, server, now_ms)) {
+            note_change(entry, now_ms);
+        }
+    }
+}
+
+/* Notes that a server answered a request with these parts.  Returns whether
+ * that cleared a part of a crash. */
+bool
+quarantine_note_answer(struct quarantine *quarantine,
+                       const struct quarantine_parts *parts, int64_t now_ms)
+{
+    bool is_cleared = false;
+
+    for (int i = 0; i < parts->n_parts; i++) {
+        struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (entry == NULL || judge(quarantine, entry).n_crashes == 0) {
+            continue;
+        }
+        entry->answered_ms = now_ms;
+        entry->is_answered = true;
+        note_change(entry, now_ms);
+        is_cleared = true;
+    }
+    return is_cleared;
+}
+
+/* Drops the records that neither block nor have changed for FORGET_MS. */
+void
+quarantine_expire(struct quarantine *quarantine, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quarantine->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct entry *entry = value;
+        int64_t until_ms = judge(quarantine, entry).blocked_until_ms;
+        if (now_ms - MAX(entry->changed_ms, until_ms) >= FORGET_MS) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+/* ---- exchange between nodes ---- */
+
+static struct quarantine_record
+make_record(const struct entry *entry, int64_t now_ms)
+{
+    struct quarantine_record record = {
+        .part = entry->part,
+        .n_crashes = entry->n_crashes,
+        .answer_age_ms = entry->is_answered ? now_ms - entry->answered_ms : -1,
+    };
+
+    for (int i = 0; i < entry->n_crashes; i++) {
+        record.crashes[i].server = entry->crashes[i].server;
+        record.crashes[i].age_ms = now_ms - entry->crashes[i].at_ms;
+    }
+    return record;
+}
+
+/* Returns the records of type struct quarantine_record that changed and were
+ * not yet taken often enough, or all; NULL if there are none.  The caller
+ * frees the array. */
+GArray *
+quarantine_take(struct quarantine *quarantine, bool is_all, int64_t now_ms)
+{
+    GArray *records = NULL;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quarantine->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct entry *entry = value;
+        struct quarantine_record record;
+        if (!is_all && entry->rounds == 0) {
+            continue;
+        }
+        entry->rounds -= is_all ? 0 : 1;
+        record = make_record(entry, now_ms);
+        if (records == NULL) {
+            records =
+                g_array_new(FALSE, FALSE, sizeof(struct quarantine_record));
+        }
+        g_array_append_val(records, record);
+    }
+    return records;
+}
+
+/* Adds a peer's record, which is taken for other peers in turn.  Returns
+ * whether it was new. */
+bool
+quarantine_merge(struct quarantine *quarantine,
+                 const struct quarantine_record *record, int64_t now_ms)
+{
+    struct entry *entry = find_or_add(quarantine, record->part);
+    bool is_new = false;
+
+    for (int i = 0; i < record->n_crashes; i++) {
+        is_new |= add_crash(entry, record->crashes[i].server,
+                            now_ms - MAX(record->crashes[i].age_ms, 0));
+    }
+    if (record->answer_age_ms >= 0) {
+        int n_counted = judge(quarantine, entry).n_crashes;
+        int64_t answered_ms = now_ms - record->answer_age_ms;
+        /* The transfer makes an answer seem later by its duration, so only one
+         * that clears crashes is passed on. */
+        entry->answered_ms = entry->is_answered
+                                 ? MAX(entry->answered_ms, answered_ms)
+                                 : answered_ms;
+        entry->is_answered = true;
+        is_new |= judge(quarantine, entry).n_crashes < n_counted;
+    }
+    if (is_new) {
+        note_change(entry, now_ms);
+    }
+    return is_new;
+}
+
+/* Returns a hash of the blocked parts; 0: none.  Nodes with different hashes
+ * should exchange all records. */
+uint64_t
+quarantine_digest(const struct quarantine *quarantine, int64_t now_ms)
+{
+    uint64_t digest = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quarantine->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct entry *entry = value;
+        if (judge(quarantine, entry).blocked_until_ms > now_ms) {
+            digest += base_hash(&entry->part, sizeof(entry->part), 0);
+        }
+    }
+    return digest;
+}
--- /dev/null
+++ b/packages/quarantine/quarantine.h
@@ -0,0 +1,107 @@
+/*
+ * quarantine: finds the parts of prompts that crash backend servers, so that
+ * no further server is lost to them.
+ *
+ * A prompt lists its parts; requests share parts, so one part may come in many
+ * requests.  When a server crashes, each request that it had not begun to
+ * answer is suspect, and with it all parts of its prompt.  A part is blocked
+ * after several crashes with no answer in between; an answer clears it.  So
+ * the parts of requests that merely ran beside the culprit are cleared by the
+ * next sound request, and one crash that breaks many connections counts once.
+ * After a while single requests may try again, since a server can be mended;
+ * another crash then blocks the part for twice as long.
+ *
+ *     struct quarantine quarantine;
+ *     quarantine_init(&quarantine, &(struct quarantine_desc){0});
+ *     if (quarantine_admit(&quarantine, &parts, now_ms) > 0) ... refuse
+ *     quarantine_note_crash(&quarantine, &parts, server, now_ms);
+ *     quarantine_note_answer(&quarantine, &parts, now_ms);
+ *     quarantine_finish(&quarantine);
+ *
+ * Each node sees only some of the crashes.  Nodes exchange records:
+ * quarantine_take collects those that changed, and quarantine_merge adds a
+ * peer's.  Merging is commutative and idempotent, so that records may come
+ * late, twice and in any order.  The package does no input or output; time is
+ * an argument, in ms of any clock that only moves forward.  It has no locks.
+ */
+#ifndef CARDAMOM_QUARANTINE_H
+#define CARDAMOM_QUARANTINE_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+    QUARANTINE_MAX_PARTS = 16,  /* of one prompt; further ones are ignored */
+    QUARANTINE_MAX_CRASHES = 8, /* newest crashes in a record */
+};
+
+/* The parts of a prompt that other requests may share, as hashes. */
+struct quarantine_parts {
+    int n_parts;
+    uint64_t parts[QUARANTINE_MAX_PARTS];
+};
+
+/* 0: the default, which the comment gives. */
+struct quarantine_desc {
+    int max_crashes;    /* crashes after which a part is blocked; 3 */
+    int64_t spacing_ms; /* crashes closer together count once; 200 */
+    int64_t block_ms;   /* time from the crash to the first try; 10,000 */
+    int64_t retry_ms;   /* time from one try of this node to the next; 2,000 */
+    uint64_t node;      /* number of this node: nodes try at different times */
+    int max_records;    /* then those with the fewest crashes go; 512 */
+};
+
+/* What is known of one part.  Ages are in ms, so that clocks of nodes need not
+ * agree. */
+struct quarantine_record {
+    uint64_t part;
+    int n_crashes;
+    struct quarantine_crash {
+        uint64_t server; /* hash of the server's name */
+        int64_t age_ms;
+    } crashes[QUARANTINE_MAX_CRASHES];
+    int64_t answer_age_ms; /* age of the last answer; -1: none */
+};
+
+struct quarantine {
+    struct quarantine_desc desc;
+    GHashTable *entries; /* part to struct entry */
+};
+
+void quarantine_init(struct quarantine *quarantine,
+                     const struct quarantine_desc *desc);
+void quarantine_finish(struct quarantine *quarantine);
+
+int64_t quarantine_admit(struct quarantine *quarantine,
+                         const struct quarantine_parts *parts, int64_t now_ms);
+int64_t quarantine_blocked_ms(const struct quarantine *quarantine,
+                              const struct quarantine_parts *parts,
+                              int64_t now_ms);
+int quarantine_suspicion(const struct quarantine *quarantine,
+                         const struct quarantine_parts *parts);
+void quarantine_scope(struct quarantine_parts *parts, const char *deployment);
+void quarantine_note_crash(struct quarantine *quarantine,
+                           const struct quarantine_parts *parts,
+                           uint64_t server, int64_t now_ms);
+bool quarantine_note_answer(struct quarantine *quarantine,
+                            const struct quarantine_parts *parts,
+                            int64_t now_ms);
+void quarantine_expire(struct quarantine *quarantine, int64_t now_ms);
+
+/* ---- exchange between nodes ---- */
+
+GArray *quarantine_take(struct quarantine *quarantine, bool is_all,
+                        int64_t now_ms);
+bool quarantine_merge(struct quarantine *quarantine,
+                      const struct quarantine_record *record, int64_t now_ms);
+uint64_t quarantine_digest(const struct quarantine *quarantine,
+                           int64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/quarantine/test_quarantine.cc
@@ -0,0 +1,330 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "quarantine/quarantine.h"
+
+namespace {
+
+enum { CULPRIT = 1, SHARED = 2, FIRST_GROUP = 100 };
+
+struct quarantine_parts
+parts_of(std::vector<uint64_t> ids)
+{
+    struct quarantine_parts parts = {};
+    for (uint64_t id : ids) {
+        parts.parts[parts.n_parts++] = id;
+    }
+    return parts;
+}
+
+struct Node {
+    struct quarantine quarantine;
+
+    explicit Node(int max_crashes = 0, uint64_t number = 0)
+    {
+        struct quarantine_desc desc = {};
+        desc.max_crashes = max_crashes;
+        desc.node = number;
+        quarantine_init(&quarantine, &desc);
+    }
+    Node(const Node &) = delete;
+    ~Node()
+    {
+        quarantine_finish(&quarantine);
+    }
+    bool
+    blocks(std::vector<uint64_t> ids, int64_t now_ms) const
+    {
+        struct quarantine_parts parts = parts_of(ids);
+        return quarantine_blocked_ms(&quarantine, &parts, now_ms) > 0;
+    }
+    bool
+    refuses(std::vector<uint64_t> ids, int64_t now_ms)
+    {
+        struct quarantine_parts parts = parts_of(ids);
+        return quarantine_admit(&quarantine, &parts, now_ms) > 0;
+    }
+    void
+    crash(std::vector<uint64_t> ids, uint64_t server, int64_t now_ms)
+    {
+        struct quarantine_parts parts = parts_of(ids);
+        quarantine_note_crash(&quarantine, &parts, server, now_ms);
+    }
+    void
+    answer(std::vector<uint64_t> ids, int64_t now_ms)
+    {
+        struct quarantine_parts parts = parts_of(ids);
+        quarantine_note_answer(&quarantine, &parts, now_ms);
+    }
+    /* Sends the changed records, or all, to another node. */
+    void
+    send_to(Node &other, int64_t now_ms, bool is_all = false)
+    {
+        GArray *records = quarantine_take(&quarantine, is_all, now_ms);
+        for (guint i = 0; records != nullptr && i < records->len; i++) {
+            quarantine_merge(
+                &other.quarantine,
+                &g_array_index(records, struct quarantine_record, i), now_ms);
+        }
+        if (records != nullptr) {
+            g_array_free(records, TRUE);
+        }
+    }
+};
+
+TEST(Quarantine, BlocksOnlyAfterSpacedCrashesWithoutAnAnswer)
+{
+    struct Event {
+        char kind; /* c: crash, a: answer */
+        uint64_t server;
+        int64_t at_ms;
+    };
+    struct {
+        const char *what;
+        std::vector<Event> events;
+        int64_t now_ms;
+        bool is_blocked;
+    } cases[] = {
+        {"nothing known", {}, 0, false},
+        {"two crashes", {{'c', 1, 0}, {'c', 2, 500}}, 600, false},
+        {"three crashes",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}},
+         1000,
+         true},
+        {"many connections broken at once",
+         {{'c', 1, 0}, {'c', 2, 10}, {'c', 3, 20}, {'c', 4, 190}},
+         1000,
+         false},
+        {"one crash noticed late by others",
+         {{'c', 1, 0}, {'c', 1, 300}, {'c', 1, 600}, {'c', 2, 900}},
+         1000,
+         false},
+        {"a server that crashed again",
+         {{'c', 1, 0}, {'c', 1, 3000}, {'c', 1, 6000}},
+         6100,
+         true},
+        {"an answer in between",
+         {{'c', 1, 0}, {'c', 2, 500}, {'a', 0, 600}, {'c', 3, 900}},
+         1000,
+         false},
+        {"an answer to a request sent before",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}, {'a', 0, 950}},
+         1000,
+         false},
+        {"after the block",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}},
+         10901,
+         false},
+        {"another crash after the block",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}, {'c', 1, 11000}},
+         30999,
+         true},
+        {"after the second block",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}, {'c', 1, 11000}},
+         31001,
+         false},
+        {"crashes of requests sent before the block",
+         {{'c', 1, 0}, {'c', 2, 500}, {'c', 3, 900}, {'c', 4, 1500}},
+         10901,
+         false},
+    };
+
+    for (const auto &c : cases) {
+        Node node;
+        for (const Event &event : c.events) {
+            if (event.kind == 'c') {
+                node.crash({CULPRIT}, event.server, event.at_ms);
+            }
+            else {
+                node.answer({CULPRIT}, event.at_ms);
+            }
+        }
+        EXPECT_EQ(node.blocks({SHARED, CULPRIT}, c.now_ms), c.is_blocked)
+            << c.what;
+        EXPECT_FALSE(node.blocks({SHARED}, c.now_ms)) << c.what;
+    }
+}
+
+TEST(Quarantine, CrashesSeenByDifferentNodesAddUp)
+{
+    Node a, b, c;
+
+    a.crash({SHARED, CULPRIT}, 1, 0);
+    b.crash({SHARED, CULPRIT}, 1, 20); /* the same crash */
+    b.crash({SHARED, CULPRIT}, 2, 500);
+    c.crash({SHARED, CULPRIT}, 3, 900);
+    c.answer({SHARED}, 950);
+    a.send_to(b, 1000);
+    b.send_to(c, 1000);
+    c.send_to(a, 1000);
+    EXPECT_TRUE(c.blocks({CULPRIT}, 1000));
+    EXPECT_TRUE(a.blocks({CULPRIT}, 1000));
+    EXPECT_FALSE(a.blocks({SHARED}, 1000));
+    EXPECT_FALSE(c.blocks({SHARED}, 1000));
+    EXPECT_EQ(quarantine_digest(&a.quarantine, 1000),
+              quarantine_digest(&c.quarantine, 1000));
+    EXPECT_NE(quarantine_digest(&a.quarantine, 1000), 0U);
+}
+
+TEST(Quarantine, StartingNodeTakesAllRecords)
+{
+    Node old, fresh;
+
+    old.crash({CULPRIT}, 1, 0);
+    old.crash({CULPRIT}, 2, 500);
+    old.crash({CULPRIT}, 3, 1000);
+    for (int i = 0; i < 10; i++) {
+        Node nobody;
+        old.send_to(nobody, 1100);
+    }
+    old.send_to(fresh, 5000, true);
+    EXPECT_TRUE(fresh.blocks({CULPRIT}, 5000));
+    EXPECT_FALSE(fresh.blocks({CULPRIT}, 11001));
+}
+
+TEST(Quarantine, AfterTheBlockANodeTriesOneRequestAtATime)
+{
+    Node node;
+    struct quarantine_parts parts = parts_of({SHARED, CULPRIT});
+
+    node.crash({CULPRIT}, 1, 0);
+    node.crash({CULPRIT}, 2, 500);
+    node.crash({CULPRIT}, 3, 1000);
+    EXPECT_GT(quarantine_admit(&node.quarantine, &parts, 2000), 0);
+    EXPECT_EQ(quarantine_admit(&node.quarantine, &parts, 13500), 0);
+    EXPECT_GT(quarantine_admit(&node.quarantine, &parts, 13600), 0);
+    EXPECT_EQ(quarantine_admit(&node.quarantine, &parts, 15500), 0);
+    node.answer({CULPRIT}, 15600);
+    EXPECT_EQ(quarantine_admit(&node.quarantine, &parts, 15700), 0);
+    EXPECT_EQ(quarantine_admit(&node.quarantine, &parts, 15701), 0);
+}
+
+TEST(Quarantine, RecordsEndUnlessTheyAreRepeatedForever)
+{
+    Node a, b;
+
+    a.crash({CULPRIT}, 1, 0);
+    a.answer({CULPRIT}, 100);
+    int n_sent = 0;
+    for (int64_t now_ms = 200; now_ms < 10000; now_ms += 100) {
+        GArray *records = quarantine_take(&a.quarantine, false, now_ms);
+        n_sent += records != nullptr ? 1 : 0;
+        if (records != nullptr) {
+            quarantine_merge(
+                &b.quarantine,
+                &g_array_index(records, struct quarantine_record, 0),
+                now_ms + 30);
+            g_array_free(records, TRUE);
+        }
+        b.send_to(a, now_ms + 60);
+    }
+    EXPECT_LE(n_sent, 8);
+    quarantine_expire(&a.quarantine, 200000);
+    EXPECT_EQ(g_hash_table_size(a.quarantine.entries), 0U);
+}
+
+TEST(Quarantine, ManyRecordsKeepTheOnesThatBlock)
+{
+    Node node;
+
+    node.crash({CULPRIT}, 1, 0);
+    node.crash({CULPRIT}, 2, 500);
+    node.crash({CULPRIT}, 3, 1000);
+    for (uint64_t part = 1000; part < 3000; part++) {
+        node.crash({part}, 4, 2000);
+    }
+    EXPECT_EQ(g_hash_table_size(node.quarantine.entries), 512U);
+    EXPECT_TRUE(node.blocks({CULPRIT}, 2000));
+}
+
+/* Plays 40 requests a second for 20 s at nine servers and ten nodes.  A part
+ * of 5% of the requests crashes each server that begins to answer one; other
+ * requests run beside it, and servers also crash for other reasons.  Crashes
+ * reach the other nodes after 300 ms. */
+struct Outcome {
+    int n_crashes = 0; /* by the part */
+    int n_refused_sound = 0;
+    int n_sound = 0;
+};
+
+Outcome
+play(int max_crashes, uint32_t seed)
+{
+    enum {
+        N_NODES = 10,
+        N_SERVERS = 9,
+        STEP_MS = 25,
+        N_STEPS = 800,
+        SPREAD_STEPS = 12,
+        DOWN_MS = 2000,
+        RANDOM_CRASH_STEPS = 120
+    };
+    std::mt19937 random(seed);
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<int64_t> down_until(N_SERVERS, 0);
+    Outcome outcome;
+
+    for (int i = 0; i < N_NODES; i++) {
+        nodes.push_back(std::make_unique<Node>(max_crashes, (uint64_t)i));
+    }
+    /* Each step one request comes.  It waits on a server beside the one that
+     * came before it, which a crash takes with it. */
+    std::vector<uint64_t> neighbour;
+    int neighbour_server = -1;
+    size_t neighbour_node = 0;
+    for (int step = 1; step <= N_STEPS; step++) {
+        int64_t now_ms = step * STEP_MS;
+        Node &node = *nodes[random() % N_NODES];
+        bool is_culprit = random() % 20 == 0;
+        std::vector<uint64_t> ids = {SHARED, FIRST_GROUP + random() % 200,
+                                     is_culprit ? (uint64_t)CULPRIT
+                                                : 10000 + (uint64_t)step};
+        int server = (int)(random() % N_SERVERS);
+        for (int i = 0; i < N_SERVERS && down_until[server] > now_ms; i++) {
+            server = (server + 1) % N_SERVERS;
+        }
+        outcome.n_sound += is_culprit ? 0 : 1;
+        if (node.refuses(ids, now_ms)) {
+            outcome.n_refused_sound += is_culprit ? 0 : 1;
+        }
+        else if (is_culprit || step % RANDOM_CRASH_STEPS == 0) {
+            outcome.n_crashes += is_culprit ? 1 : 0;
+            node.crash(ids, (uint64_t)server, now_ms);
+            down_until[server] = now_ms + DOWN_MS;
+            if (neighbour_server == server) {
+                nodes[neighbour_node]->crash(neighbour, (uint64_t)server,
+                                             now_ms);
+            }
+        }
+        else {
+            node.answer(ids, now_ms);
+            neighbour = ids;
+            neighbour_server = server;
+        }
+        if (step % SPREAD_STEPS == 0) {
+            for (int i = 0; i < 2 * N_NODES; i++) {
+                nodes[i % N_NODES]->send_to(*nodes[(i + 1) % N_NODES], now_ms);
+            }
+        }
+    }
+    return outcome;
+}
+
+TEST(Quarantine, PlayedCrashesEndAndSoundRequestsGoOn)
+{
+    enum { NEVER = 1000 };
+
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        Outcome without = play(NEVER, seed);
+        Outcome with = play(0, seed);
+        EXPECT_GE(without.n_crashes, 20) << seed;
+        EXPECT_LE(with.n_crashes, 8) << seed;
+        EXPECT_LE(with.n_refused_sound, with.n_sound / 100) << seed;
+    }
+}
+
+} // namespace
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -1132,6 +1132,141 @@
   assert(message->base.descriptor == &control__rate_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__prompt_crash__init
+                     (Control__PromptCrash         *message)
+{
+  static const Control__PromptCrash init_value = CONTROL__PROMPT_CRASH__INIT;
+  *message = init_value;
+}
+size_t control__prompt_crash__get_packed_size
+                     (const Control__PromptCrash *message)
+{
+  assert(message->base.descriptor == &control__prompt_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__prompt_crash__pack
+                     (const Control__PromptCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__prompt_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__prompt_crash__pack_to_buffer
+                     (const Control__PromptCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__prompt_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__PromptCrash *
+       control__prompt_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__PromptCrash *)
+     protobuf_c_message_unpack (&control__prompt_crash__descriptor,
+                                allocator, len, data);
+}
+void   control__prompt_crash__free_unpacked
+                     (Control__PromptCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__prompt_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   control__prompt_part__init
+                     (Control__PromptPart         *message)
+{
+  static const Control__PromptPart init_value = CONTROL__PROMPT_PART__INIT;
+  *message = init_value;
+}
+size_t control__prompt_part__get_packed_size
+                     (const Control__PromptPart *message)
+{
+  assert(message->base.descriptor == &control__prompt_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__prompt_part__pack
+                     (const Control__PromptPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__prompt_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__prompt_part__pack_to_buffer
+                     (const Control__PromptPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__prompt_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__PromptPart *
+       control__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__PromptPart *)
+     protobuf_c_message_unpack (&control__prompt_part__descriptor,
+                                allocator, len, data);
+}
+void   control__prompt_part__free_unpacked
+                     (Control__PromptPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__prompt_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   control__prompt_parts__init
+                     (Control__PromptParts         *message)
+{
+  static const Control__PromptParts init_value = CONTROL__PROMPT_PARTS__INIT;
+  *message = init_value;
+}
+size_t control__prompt_parts__get_packed_size
+                     (const Control__PromptParts *message)
+{
+  assert(message->base.descriptor == &control__prompt_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__prompt_parts__pack
+                     (const Control__PromptParts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__prompt_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__prompt_parts__pack_to_buffer
+                     (const Control__PromptParts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__prompt_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__PromptParts *
+       control__prompt_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__PromptParts *)
+     protobuf_c_message_unpack (&control__prompt_parts__descriptor,
+                                allocator, len, data);
+}
+void   control__prompt_parts__free_unpacked
+                     (Control__PromptParts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__prompt_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor control__member_update__field_descriptors[12] =
 {
   {
@@ -3109,3 +3244,169 @@
   (ProtobufCMessageInit) control__rate_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor control__prompt_crash__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptCrash, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__prompt_crash__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange control__prompt_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor control__prompt_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.PromptCrash",
+  "PromptCrash",
+  "Control__PromptCrash",
+  "control",
+  sizeof(Control__PromptCrash),
+  2,
+  control__prompt_crash__field_descriptors,
+  control__prompt_crash__field_indices_by_name,
+  1,  control__prompt_crash__number_ranges,
+  (ProtobufCMessageInit) control__prompt_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__prompt_part__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__PromptPart, n_crashes),
+    offsetof(Control__PromptPart, crashes),
+    &control__prompt_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_answered",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptPart, is_answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptPart, answer_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__prompt_part__field_indices_by_name[] = {
+  3,   /* field[3] = answer_age_ms */
+  1,   /* field[1] = crashes */
+  2,   /* field[2] = is_answered */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange control__prompt_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor control__prompt_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.PromptPart",
+  "PromptPart",
+  "Control__PromptPart",
+  "control",
+  sizeof(Control__PromptPart),
+  4,
+  control__prompt_part__field_descriptors,
+  control__prompt_part__field_indices_by_name,
+  1,  control__prompt_part__number_ranges,
+  (ProtobufCMessageInit) control__prompt_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__prompt_parts__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__PromptParts, n_parts),
+    offsetof(Control__PromptParts, parts),
+    &control__prompt_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__prompt_parts__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange control__prompt_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor control__prompt_parts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.PromptParts",
+  "PromptParts",
+  "Control__PromptParts",
+  "control",
+  sizeof(Control__PromptParts),
+  1,
+  control__prompt_parts__field_descriptors,
+  control__prompt_parts__field_indices_by_name,
+  1,  control__prompt_parts__number_ranges,
+  (ProtobufCMessageInit) control__prompt_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -40,6 +40,9 @@
 typedef struct Control__Record Control__Record;
 typedef struct Control__RateAsk Control__RateAsk;
 typedef struct Control__RateAnswer Control__RateAnswer;
+typedef struct Control__PromptCrash Control__PromptCrash;
+typedef struct Control__PromptPart Control__PromptPart;
+typedef struct Control__PromptParts Control__PromptParts;
 
 
 /* --- enums --- */
@@ -484,6 +487,51 @@
     , 0, 0 }
 
 
+/*
+ * A crash of a server, given by the hash of its name. 
+ */
+struct  Control__PromptCrash
+{
+  ProtobufCMessage base;
+  uint64_t server;
+  int64_t age_ms;
+};
+#define CONTROL__PROMPT_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__prompt_crash__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * What the sender knows of one part of prompts; see packages/quarantine. 
+ */
+struct  Control__PromptPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  size_t n_crashes;
+  Control__PromptCrash **crashes;
+  protobuf_c_boolean is_answered;
+  int64_t answer_age_ms;
+};
+#define CONTROL__PROMPT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__prompt_part__descriptor) \
+    , 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Parts of prompts that were being answered when servers crashed. 
+ */
+struct  Control__PromptParts
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  Control__PromptPart **parts;
+};
+#define CONTROL__PROMPT_PARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__prompt_parts__descriptor) \
+    , 0,NULL }
+
+
 /* Control__MemberUpdate methods */
 void   control__member_update__init
                      (Control__MemberUpdate         *message);
@@ -959,6 +1007,63 @@
 void   control__rate_answer__free_unpacked
                      (Control__RateAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Control__PromptCrash methods */
+void   control__prompt_crash__init
+                     (Control__PromptCrash         *message);
+size_t control__prompt_crash__get_packed_size
+                     (const Control__PromptCrash   *message);
+size_t control__prompt_crash__pack
+                     (const Control__PromptCrash   *message,
+                      uint8_t             *out);
+size_t control__prompt_crash__pack_to_buffer
+                     (const Control__PromptCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Control__PromptCrash *
+       control__prompt_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__prompt_crash__free_unpacked
+                     (Control__PromptCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Control__PromptPart methods */
+void   control__prompt_part__init
+                     (Control__PromptPart         *message);
+size_t control__prompt_part__get_packed_size
+                     (const Control__PromptPart   *message);
+size_t control__prompt_part__pack
+                     (const Control__PromptPart   *message,
+                      uint8_t             *out);
+size_t control__prompt_part__pack_to_buffer
+                     (const Control__PromptPart   *message,
+                      ProtobufCBuffer     *buffer);
+Control__PromptPart *
+       control__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__prompt_part__free_unpacked
+                     (Control__PromptPart *message,
+                      ProtobufCAllocator *allocator);
+/* Control__PromptParts methods */
+void   control__prompt_parts__init
+                     (Control__PromptParts         *message);
+size_t control__prompt_parts__get_packed_size
+                     (const Control__PromptParts   *message);
+size_t control__prompt_parts__pack
+                     (const Control__PromptParts   *message,
+                      uint8_t             *out);
+size_t control__prompt_parts__pack_to_buffer
+                     (const Control__PromptParts   *message,
+                      ProtobufCBuffer     *buffer);
+Control__PromptParts *
+       control__prompt_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__prompt_parts__free_unpacked
+                     (Control__PromptParts *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Control__MemberUpdate_Closure)
@@ -1036,6 +1141,15 @@
 typedef void (*Control__RateAnswer_Closure)
                  (const Control__RateAnswer *message,
                   void *closure_data);
+typedef void (*Control__PromptCrash_Closure)
+                 (const Control__PromptCrash *message,
+                  void *closure_data);
+typedef void (*Control__PromptPart_Closure)
+                 (const Control__PromptPart *message,
+                  void *closure_data);
+typedef void (*Control__PromptParts_Closure)
+                 (const Control__PromptParts *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1067,6 +1181,9 @@
 extern const ProtobufCMessageDescriptor control__record__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_ask__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_answer__descriptor;
+extern const ProtobufCMessageDescriptor control__prompt_crash__descriptor;
+extern const ProtobufCMessageDescriptor control__prompt_part__descriptor;
+extern const ProtobufCMessageDescriptor control__prompt_parts__descriptor;
 
 PROTOBUF_C__END_DECLS
 
