Let a site's responses without length end with their connection

Callers got 502, or a second server ran their request, when a server answered without content-length and chunks: such a response always counted as broken off.

Cause: the HTTP client called every response that ends by close incomplete, since libwebsockets does not tell a close from a reset.

Change: requests on a site allow it (may_end_by_close). At the end the client looks whether the peer closed or reset the connection: the hang-up that poll reports after a reset remains even if the library has taken the error. Documents of our own keep the strict rule.

Failed before: Backends.ResponseWithoutLengthEndsByCloseButNotByReset, Ingress.StreamWithoutLengthIsCompleteUnlessItEndsInsideAnEvent.

--- a/packages/backends/backends.h
+++ b/packages/backends/backends.h
@@ -18,7 +18,8 @@
  * server refused the request with the header `x-ran: no`; BASE_RAN if a
  * complete response with a status below 500 arrived; and otherwise
  * BASE_MAY_HAVE_RUN.  A response that has neither a content-length nor chunked
- * encoding is never considered complete.
+ * encoding is never considered complete, unless the request allows it to end
+ * with its connection.
  *
  * The owner creates the context from a struct lws_context_creation_info that
  * backends_prepare_info has filled in.  All functions must be called on the
@@ -80,6 +81,9 @@
     const char *id_header;      /* instead of x-request-id */
     const char *refusal_header; /* its presence means "not run" */
     int refusal_status;         /* this status means "not run" */
+    /* A response without length and chunks ends when the server closes the
+     * connection; a reset breaks it off. */
+    bool may_end_by_close;
 };
 
 struct backends_desc {
--- a/packages/backends/backends_private.h
+++ b/packages/backends/backends_private.h
@@ -42,6 +42,7 @@
     char *id_header;
     char *refusal_header; /* NULL: x-ran: no */
     int refusal_status;
+    bool may_end_by_close;
     bool is_head_method;
     /* response */
     int status;
@@ -50,6 +51,7 @@
     int64_t body_received;
     bool is_reading;  /* lws_http_client_read is on the stack */
     bool is_at_close; /* the current read found only the peer's close */
+    bool is_reset;    /* that close was a reset */
     bool is_refused_not_run;
     bool is_complete;
     bool is_failed; /* err has the reason */
--- a/packages/backends/call.c
+++ b/packages/backends/call.c
@@ -41,6 +41,7 @@
         g_strdup(request->id_header ? request->id_header : "x-request-id");
     call->refusal_header = g_strdup(request->refusal_header);
     call->refusal_status = request->refusal_status;
+    call->may_end_by_close = request->may_end_by_close;
     call->is_head_method = strcmp(request->method, "HEAD") == 0;
     call->connect_ms = request->connect_ms ? request->connect_ms : CONNECT_MS;
     call->first_byte_ms =
--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -158,7 +159,7 @@
          * An end without received bytes is a close. */
         return call->is_reading && !call->is_at_close;
     case BACKENDS_BY_CLOSE:
-        break;
+        return call->may_end_by_close && call->is_at_close && !call->is_reset;
     }
     return false;
 }
@@ -220,16 +221,21 @@
     return 0;
 }
 
-/* Tells whether the peer has closed or reset the connection and no bytes are
- * left to read. */
-static bool
-is_closed_by_peer(struct lws *wsi)
+/* Finds out whether the peer has closed or reset the connection and no bytes
+ * are left to read.  The error of a reset is reported only once, perhaps to
+ * libwebsockets; a hang-up remains. */
+static void
+find_close(struct backends_call *call, struct lws *wsi)
 {
+    struct pollfd polled = {.fd = lws_get_socket_fd(wsi), .events = POLLIN};
     char byte;
-    ssize_t n =
-        recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ssize_t n = recv(polled.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool is_failed = n < 0 && errno != EAGAIN && errno != EINTR;
 
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    call->is_at_close = n == 0 || is_failed;
+    call->is_reset =
+        is_failed || (n == 0 && poll(&polled, 1, 0) > 0 &&
+                      (polled.revents & (POLLERR | POLLHUP)) != 0);
 }
 
 static int
@@ -242,7 +248,7 @@
     int failed;
 
     call->is_reading = true;
-    call->is_at_close = is_closed_by_peer(wsi);
+    find_close(call, wsi);
     failed = lws_http_client_read(wsi, &buffer, &size);
     call = backends_call_find(backends, handle);
     if (call == NULL) {
@@ -271,8 +277,12 @@
 on_end(struct backends_call *call, struct lws *wsi,
        enum lws_callback_reasons reason, const char *text)
 {
-    if (reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP &&
-        is_body_complete(call)) {
+    bool may_be_complete = reason == LWS_CALLBACK_COMPLETED_CLIENT_HTTP ||
+                           (reason == LWS_CALLBACK_CLOSED_CLIENT_HTTP &&
+                            call->phase == BACKENDS_READING &&
+                            call->framing == BACKENDS_BY_CLOSE);
+
+    if (may_be_complete && is_body_complete(call)) {
         call->is_complete = true;
         backends_call_end(call);
         return -1;
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -217,6 +217,36 @@
     }
 }
 
+/* Where a response may end with its connection, a close ends it and a reset
+ * breaks it off. */
+TEST_F(Backends, ResponseWithoutLengthEndsByCloseButNotByReset)
+{
+    struct {
+        bool may_end_by_close;
+        bool is_reset;
+        bool is_complete;
+    } cases[] = {
+        {false, false, false}, {true, false, true}, {true, true, false}};
+
+    for (const auto &row : cases) {
+        struct test_server server([&](int fd, const std::string &) {
+            struct linger linger = {row.is_reset ? 1 : 0, 0};
+            test_write(fd, "HTTP/1.1 200 OK\r\n\r\nab");
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+        });
+        struct record record = {};
+        struct backends_request request = request_to(server.port);
+        request.may_end_by_close = row.may_end_by_close;
+        run(request, &record);
+        EXPECT_EQ(record.result.is_complete, row.is_complete);
+        EXPECT_EQ(record.result.verdict,
+                  row.is_complete ? BASE_RAN : BASE_MAY_HAVE_RUN);
+        if (!row.is_reset) {
+            EXPECT_EQ(record.body, "ab");
+        }
+    }
+}
+
 /* The body is larger than a socket's buffer, so it is written in several
  * parts. */
 TEST_F(Backends, RequestArrivesComplete)
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -526,6 +526,7 @@
     request->id_header = exchange->protocol->request_id;
     request->refusal_header = exchange->protocol->refused_not_run;
     request->refusal_status = exchange->protocol->misdirected_status;
+    request->may_end_by_close = true;
     request->content_type =
         exchange->content_type != NULL ? exchange->content_type : "";
 }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -385,6 +385,31 @@
     EXPECT_EQ(answer.headers["x-cardamompick-ran"], "maybe");
 }
 
+/* A stream without length and chunks ends with its connection, but not inside
+ * an event. */
+TEST_F(Ingress, StreamWithoutLengthIsCompleteUnlessItEndsInsideAnEvent)
+{
+    struct {
+        std::string body;
+        bool is_complete;
+    } cases[] = {{event(1) + event(2), true},
+                 {event(1) + "id: 2\ndata: t", false}};
+    std::string body;
+    struct test_server engine([&](int fd, const std::string &request) {
+        test_write(fd,
+                   "HTTP/1.1 200 OK\r\nx-id: " + test_header(request, "x-id") +
+                       "\r\ncontent-type: text/event-stream\r\n\r\n" + body);
+    });
+    max_attempts = 1;
+    begin({&engine});
+    for (const auto &row : cases) {
+        body = row.body;
+        struct answer answer = ask(post("/a/x", "b"));
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.is_complete, row.is_complete) << row.body;
+    }
+}
+
 /* Part "x" crashes each server that begins to answer a request with it; "s" is
  * shared with sound requests. */
 TEST_F(Ingress, RequestsWithAPartThatCrashesServersEndAfterAFew)
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -336,6 +336,7 @@
         .host_header = run->head.host,
         .refusal_header = jobs->names.refused_not_run,
         .refusal_status = jobs->names.misdirected_status,
+        .may_end_by_close = true,
     };
 
     prepare_attempt(work);
