End long polls after 4 s, so that a silent connection hides no change for long

Nodes could go on using a server for seconds after it said that it was leaving, and keep an old configuration: a long poll whose connection had gone silent ended only after 11 s. All watchers poll anew at the same moment, after each change, so all of them may be blind until then.

Change: LONG_POLL_MS 10,000 -> 4,000. A silent poll ends after 5 s; nodes count as undisturbed 4 s after the connections went silent, and a change is due 2.5 s after it.

PlatformPoll.SilentPollEndsBeforeAChangeIsOverdue failed before (10,000 of 5,000 ms).

--- a/packages/platform/poll.c
+++ b/packages/platform/poll.c
@@ -5,7 +5,7 @@
 enum {
     /* How long the service may delay its response to a long poll.  A longer
      * time means fewer calls, but a broken connection is noticed later. */
-    LONG_POLL_MS = 10000,
+    LONG_POLL_MS = 4000,
     BUSY_LONG_POLL_MS = 2000,  /* for a prefix that changes often */
     RESPONSE_MARGIN_MS = 1000, /* added to the delay in the call's time-out */
     LIST_TIMEOUT_MS = 1500,    /* time limit for one page of a list */
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -1,16 +1,19 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include "platform/platform.h"
+#include "backends/test_server.h"
 #include "platform/test_fake_kv.h"
 
 extern "C" {
 #include "platform/breaker.h"
 #include "platform/budget.h"
 #include "platform/codec.h"
+#include "platform/dialect.h"
 }
 
 namespace {
@@ -459,4 +462,128 @@
     }
 }
 
+/* ---- watches by long polling ---- */
+
+/* What the dialect below has been asked for. */
+struct Polls {
+    std::mutex lock;
+    std::vector<int64_t> waits_ms;
+};
+
+Polls polls;
+
+void
+encode_list(const struct platform_kv *, struct platform_encoded_request *out)
+{
+    out->method = "GET";
+    out->path = g_strdup("/list");
+}
+
+enum platform_decoded
+decode_list(struct platform_kv *kv, bool, int, const char *, size_t)
+{
+    kv->status = PLATFORM_OK;
+    kv->revision = 1;
+    return PLATFORM_DECODED;
+}
+
+void
+encode_poll(const char *, int64_t, int64_t wait_ms,
+            struct platform_encoded_request *out)
+{
+    std::lock_guard<std::mutex> guard(polls.lock);
+    polls.waits_ms.push_back(wait_ms);
+    out->method = "GET";
+    out->path = g_strdup("/poll");
+}
+
+enum platform_poll_status
+decode_poll(int, const char *, size_t, struct platform_changes *changes)
+{
+    changes->revision = 1;
+    changes->events = g_ptr_array_new();
+    return PLATFORM_POLL_OK;
+}
+
+const struct platform_dialect POLLING = {encode_list, decode_list, encode_poll,
+                                         decode_poll};
+
+/* A client that watches a prefix by long polling. */
+struct PollClient {
+    struct base_task task;
+    struct platform *platform = nullptr;
+    int n_listings = 0;
+    std::vector<int64_t> outages_ms;
+    uint64_t watch;
+
+    explicit PollClient(int port)
+    {
+        static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
+        std::string address = "127.0.0.1:" + std::to_string(port);
+        const char *kv[] = {address.c_str()};
+        struct base_error err = {};
+        struct platform_desc desc = {};
+        desc.kv = kv;
+        desc.n_kv = 1;
+        desc.calls_per_s = 1000;
+        desc.min_poll_ms = 1;
+        desc.dialect = &POLLING;
+        polls.waits_ms.clear();
+        EXPECT_TRUE(base_task_init(&task, "test", &OPS, this, &err));
+        platform = platform_start(&desc, &err);
+        EXPECT_NE(platform, nullptr) << err.text;
+        watch = platform_watch(platform, "p/", &task, nullptr, on_event);
+    }
+    ~PollClient()
+    {
+        platform_unwatch(platform, watch);
+        platform_stop(platform);
+        base_task_drain(&task);
+        base_task_finish(&task);
+    }
+    static void
+    on_event(struct platform_event *event, void *state)
+    {
+        PollClient *self = (PollClient *)state;
+        self->n_listings += event->is_reset ? 1 : 0;
+        if (event->is_regained) {
+            self->outages_ms.push_back(event->outage_ms);
+        }
+    }
+    /* Waits until the client has sent n_polls polls. */
+    bool
+    has_polled(size_t n_polls)
+    {
+        for (int waited = 0; waited < 20000; waited++) {
+            base_task_drain(&task);
+            {
+                std::lock_guard<std::mutex> guard(polls.lock);
+                if (polls.waits_ms.size() >= n_polls) {
+                    return true;
+                }
+            }
+            g_usleep(1000);
+        }
+        return false;
+    }
+};
+
+const char EMPTY_RESPONSE[] = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/* A poll whose connection has gone silent hides changes until its time-out,
+ * and all nodes may poll at the same time.  Four seconds after the connections
+ * have gone silent, a change must be known within 2,500 ms. */
+TEST(PlatformPoll, SilentPollEndsBeforeAChangeIsOverdue)
+{
+    enum { N_POLLS = 5, MAX_WAIT_MS = 5000 };
+    struct test_server server(
+        [](int fd, const std::string &) { test_write(fd, EMPTY_RESPONSE); });
+    PollClient client(server.port);
+    ASSERT_TRUE(client.has_polled(N_POLLS));
+    std::lock_guard<std::mutex> guard(polls.lock);
+    for (int64_t wait_ms : polls.waits_ms) {
+        EXPECT_LE(wait_ms, MAX_WAIT_MS);
+    }
+}
+
 } // namespace
