Measure an outage from the failure, not from the start of the failed poll

Removals of servers could be held back for seconds after a watch was cut: the outage, after which entries that are missing count as lapsed, was measured from the time at which the failed poll was sent, though a poll that waits for changes is usually sound until its connection ends.

Change: an outage begins when a call fails; only a call that timed out counts from the time at which it was sent, since its connection may have been silent all the while.

--- a/packages/platform/poll.c
+++ b/packages/platform/poll.c
@@ -26,8 +26,9 @@
     struct platform_kv *list; /* the listing under way; NULL: none */
     int64_t revision;         /* last known revision; 0: none */
     int64_t sent_ms;
+    int64_t timeout_ms;       /* of the last call */
     int64_t last_response_ms; /* time of the last usable response */
-    int64_t failing_since_ms; /* first of the failures in a row; 0: none */
+    int64_t failing_since_ms; /* start of the outage; 0: none */
     int failures;
     bool is_busy; /* the last poll returned changes */
 };
@@ -98,7 +99,12 @@
 record_failure(struct platform_poll *poll, int status)
 {
     if (poll->failing_since_ms == 0) {
-        poll->failing_since_ms = poll->sent_ms;
+        int64_t now_ms = base_clock_ms();
+        /* The connection of a call that timed out may have been silent all the
+         * while; one that was ended or refused worked until then. */
+        poll->failing_since_ms = now_ms - poll->sent_ms >= poll->timeout_ms
+                                     ? poll->sent_ms
+                                     : now_ms;
         base_log(BASE_LOG_NOTICE, "kv.lost",
                  "prefix=%s endpoint=%s status=%d revision=%" G_GINT64_FORMAT,
                  poll->desc.prefix, poll->endpoint, status, poll->revision);
@@ -243,18 +249,18 @@
         platform_count_call(platform, PLATFORM_CALL_POLL);
     }
     poll->sent_ms = base_clock_ms();
+    poll->timeout_ms =
+        poll->list != NULL ? LIST_TIMEOUT_MS : wait_ms + RESPONSE_MARGIN_MS;
     poll->endpoint = platform_endpoint(platform);
     poll->http = platform_http_send(
         &platform->http,
-        &(struct platform_http_request){
-            .ops = &OPS,
-            .context = poll,
-            .address = poll->endpoint,
-            .method = encoded.method,
-            .path = encoded.path,
-            .body = encoded.body,
-            .timeout_ms = poll->list != NULL ? LIST_TIMEOUT_MS
-                                             : wait_ms + RESPONSE_MARGIN_MS});
+        &(struct platform_http_request){.ops = &OPS,
+                                        .context = poll,
+                                        .address = poll->endpoint,
+                                        .method = encoded.method,
+                                        .path = encoded.path,
+                                        .body = encoded.body,
+                                        .timeout_ms = poll->timeout_ms});
     g_free(encoded.path);
 }
 
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <cstring>
 #include <mutex>
 #include <string>
@@ -586,4 +587,25 @@
     }
 }
 
+/* The service may end a waiting poll at any time.  The wait before that was no
+ * outage, in which entries could have lapsed. */
+TEST(PlatformPoll, AWatchThatIsCutReportsNoOutage)
+{
+    enum { CUT_AFTER_MS = 2500 };
+    std::atomic<int> n_requests{0};
+    struct test_server server([&](int fd, const std::string &) {
+        if (++n_requests == 2) {
+            g_usleep(CUT_AFTER_MS * 1000);
+            return;
+        }
+        test_write(fd, EMPTY_RESPONSE);
+    });
+    PollClient client(server.port);
+    ASSERT_TRUE(client.has_polled(4));
+    EXPECT_GE(client.n_listings, 1);
+    for (int64_t outage_ms : client.outages_ms) {
+        EXPECT_LT(outage_ms, CUT_AFTER_MS);
+    }
+}
+
 } // namespace
