Remove no server that registered after a listing

A server could vanish from all nodes until it registered anew. A node whose listing of the servers was under way, and which had heard of a newer server from a peer meanwhile, took the server for removed since the listing lacked it, and told its peers so, with a revision above the server's own.

Cause: the listing was applied without its revision; one above the entry's was made up. Change: the event carries the revision of the listing's first page. Entries after it are kept; polls go on from there and report real removals.

ControlPlatform.ListingRemovesNoServerThatRegisteredAfterIt failed before (2 servers of 3).

--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -249,29 +249,24 @@
     return apply_entry(control, key, revision, NULL, "store");
 }
 
+/* Applies a listing, which says nothing about entries after its revision. */
 static bool
-apply_listing(struct control *control, const GPtrArray *listing)
+apply_listing(struct control *control, const GPtrArray *listing,
+              int64_t revision)
 {
     GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
     GList *keys = g_hash_table_get_keys(control->registry.entries);
-    int64_t revision = 0;
     bool is_changed = false;
 
     for (guint i = 0; i < listing->len; i++) {
         const struct platform_entry *entry = listing->pdata[i];
         g_hash_table_add(listed, entry->key);
-        revision = MAX(revision, entry->revision);
         is_changed |= apply_entry(control, entry->key, entry->revision,
                                   entry->value, "store");
     }
     for (GList *at = keys; at != NULL; at = at->next) {
-        struct control_registered *entry =
-            g_hash_table_lookup(control->registry.entries, at->data);
         if (!g_hash_table_contains(listed, at->data)) {
-            /* A listing lacks the revisions of removals; they are above those
-             * of the removed entries. */
-            is_changed |= remove_entry(control, at->data,
-                                       MAX(revision, entry->revision + 1));
+            is_changed |= remove_entry(control, at->data, revision);
         }
     }
     g_list_free(keys);
@@ -294,7 +289,8 @@
     }
     else if (event->is_reset) {
         is_changed =
-            event->listing != NULL && apply_listing(control, event->listing);
+            event->listing != NULL &&
+            apply_listing(control, event->listing, event->listing_revision);
         control->registry.is_listed = true;
     }
     else if (event->is_delete) {
--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -27,12 +27,15 @@
     std::set<struct base_task *> deaf; /* nodes that it does not reach */
     std::map<std::string, bool> hosts; /* address to is_leaving */
     std::map<uint64_t, Watch> watches;
+    bool holds_listings = false; /* made, but not delivered yet */
+    std::vector<std::pair<struct platform_event *, struct base_task *>> held;
     uint64_t last_watch = 0;
     int n_gets = 0;
     int n_lists = 0;
 
     void put(const std::string &text);
     void put_server(const std::string &key, const std::string &text);
+    void deliver_listings();
     void beat();
     void cut_off_all_but(struct base_task *spared);
     bool is_watched_by(struct base_task *task);
@@ -165,6 +168,18 @@
     }
 }
 
+void
+platform::deliver_listings()
+{
+    std::lock_guard<std::mutex> guard(lock);
+    holds_listings = false;
+    for (auto &listing : held) {
+        base_call_send(&listing.first->call, &EVENT_OPS, listing.second,
+                       nullptr);
+    }
+    held.clear();
+}
+
 /* Writes every entry once more, as heartbeats do. */
 void
 platform::beat()
@@ -220,6 +235,7 @@
     event->happened = watch.happened;
     event->context = watch.context;
     event->is_reset = true;
+    event->listing_revision = revision;
     event->listing = g_ptr_array_new_with_free_func(free_entry);
     for (auto &listed : entries) {
         struct platform_entry *entry = g_new0(struct platform_entry, 1);
@@ -229,6 +245,10 @@
             g_bytes_new(listed.second.text.data(), listed.second.text.size());
         g_ptr_array_add(event->listing, entry);
     }
+    if (holds_listings && watch.prefix == "servers/") {
+        held.push_back({event, watch.to});
+        return;
+    }
     base_call_send(&event->call, &EVENT_OPS, watch.to, nullptr);
 }
 
@@ -512,6 +532,33 @@
     EXPECT_TRUE(cluster.all_use_servers(1));
 }
 
+/* A server that registers while another node's listing is under way must not
+ * be removed for not being in it. */
+TEST(ControlPlatform, ListingRemovesNoServerThatRegisteredAfterIt)
+{
+    Cluster cluster;
+    cluster.platform.config_key = SITE.config_key;
+    cluster.origin = &SITE;
+    cluster.platform.put("1");
+    cluster.platform.put_server("servers/s0", "ready");
+    cluster.add(1);
+    ASSERT_TRUE(cluster.all_use_servers(1));
+    cluster.platform.holds_listings = true;
+    cluster.add(1);
+    ASSERT_TRUE(cluster.task.until(
+        [&] { return cluster.nodes[1]->usable_servers() == 1; }));
+    cluster.platform.put_server("servers/s1", "ready");
+    ASSERT_TRUE(cluster.task.until(
+        [&] { return cluster.nodes[1]->usable_servers() == 2; }));
+    cluster.platform.deliver_listings();
+    /* Listings and changes are applied in order. */
+    cluster.platform.put_server("servers/s2", "ready");
+    EXPECT_TRUE(cluster.task.until([&] {
+        return cluster.nodes[0]->usable_servers() == 3 &&
+               cluster.nodes[1]->usable_servers() == 3;
+    }));
+}
+
 TEST(ControlWatchers, AboutTwelveWatchASiteAndAtLeastTwoAZone)
 {
     struct {
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -137,7 +137,8 @@
     bool is_regained;
     bool is_delete;
     int64_t outage_ms;
-    GPtrArray *listing; /* of struct platform_entry */
+    GPtrArray *listing;       /* of struct platform_entry */
+    int64_t listing_revision; /* it has all keys set up to this revision */
     struct platform_entry entry;
 };
 
--- a/packages/platform/poll.c
+++ b/packages/platform/poll.c
@@ -132,6 +132,7 @@
     event->listing = g_steal_pointer(&poll->list->entries);
     poll->list->entries = g_ptr_array_new();
     poll->revision = poll->list->revision;
+    event->listing_revision = poll->revision;
     platform_kv_free(poll->list);
     poll->list = NULL;
     record_success(poll);
