Keep servers removed when a node that missed the removal comes back

A removed server could come back with a node that had been cut off, and stay for as long as the nodes lived: nodes that started after the removal had no record of it, took the entry from that node and told the others.

Change: a node remembers the revision of its listing. An unknown entry of a lower revision has been removed; the node records that and tells its peers.

--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -216,8 +216,11 @@
     uint64_t digest;     /* hash of all entries' contents */
     bool is_listed;      /* the key-value service has listed all entries */
     bool is_agreed;      /* a peer has had the same entries */
-    /* Removals are delayed until this time; 0: they are applied at once. */
-    int64_t grace_until_ms;
+    int64_t listed_ms;   /* time of the last listing */
+    /* Entries up to this revision that are unknown here have been removed. */
+    int64_t listed_revision;
+    int64_t grace_until_ms;  /* removals are delayed until this time */
+    int64_t removals_due_ms; /* time of the next delayed removal; 0: none */
 };
 
 /* ---- prompt_parts.c ---- */
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -229,6 +229,19 @@
 
 /* ---- from the key-value service ---- */
 
+static void
+delay_removal(struct control *control, struct control_registered *entry,
+              int64_t revision, int64_t due_ms)
+{
+    struct control_registry *registry = &control->registry;
+
+    entry->removal_due_ms = due_ms;
+    entry->removed_revision = revision;
+    if (registry->removals_due_ms == 0 || due_ms < registry->removals_due_ms) {
+        registry->removals_due_ms = due_ms;
+    }
+}
+
 /* Applies the removal of an entry.  Shortly after an outage, the entry may be
  * removed only because its lease lapsed: the removal is then delayed so that
  * the server can register again. */
@@ -242,8 +255,8 @@
         return false;
     }
     if (control->now_ms < control->registry.grace_until_ms) {
-        entry->removal_due_ms = control->registry.grace_until_ms;
-        entry->removed_revision = revision;
+        delay_removal(control, entry, revision,
+                      control->registry.grace_until_ms);
         return false;
     }
     return apply_entry(control, key, revision, NULL, "store");
@@ -254,8 +267,9 @@
 apply_listing(struct control *control, const GPtrArray *listing,
               int64_t revision)
 {
+    struct control_registry *registry = &control->registry;
     GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
-    GList *keys = g_hash_table_get_keys(control->registry.entries);
+    GList *keys = g_hash_table_get_keys(registry->entries);
     bool is_changed = false;
 
     for (guint i = 0; i < listing->len; i++) {
@@ -269,6 +283,8 @@
             is_changed |= remove_entry(control, at->data, revision);
         }
     }
+    registry->listed_revision = MAX(registry->listed_revision, revision);
+    registry->listed_ms = control->now_ms;
     g_list_free(keys);
     g_hash_table_destroy(listed);
     return is_changed;
@@ -328,38 +344,112 @@
     }
 }
 
-/* Starts or stops the watch.  A starting node whose peers do not tell it the
- * entries watches even if it is not chosen as a watcher.  After the grace
- * period, removes the lapsed entries whose servers did not register again. */
-void
-control_registry_tick(struct control *control)
+/* Applies the delayed removals that are due. */
+static void
+apply_delayed_removals(struct control *control)
 {
+    struct control_registry *registry = &control->registry;
     GHashTableIter iter;
     gpointer value;
     bool is_changed = false;
 
-    control_registry_watch(control, control_reads_store(control));
-    if (control->registry.grace_until_ms == 0 ||
-        control->now_ms < control->registry.grace_until_ms) {
-        return;
-    }
-    control->registry.grace_until_ms = 0;
-    g_hash_table_iter_init(&iter, control->registry.entries);
+    registry->removals_due_ms = 0;
+    g_hash_table_iter_init(&iter, registry->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct control_registered *entry = value;
-        if (entry->removal_due_ms != 0) {
-            entry->removal_due_ms = 0;
-            is_changed |= apply_entry(control, entry->key,
-                                      entry->removed_revision, NULL, "lapse");
+        if (entry->removal_due_ms == 0) {
+            continue;
         }
+        if (control->now_ms < entry->removal_due_ms) {
+            delay_removal(control, entry, entry->removed_revision,
+                          entry->removal_due_ms);
+            continue;
+        }
+        entry->removal_due_ms = 0;
+        is_changed |= apply_entry(control, entry->key, entry->removed_revision,
+                                  NULL, "lapse");
     }
     if (is_changed) {
         publish_changes(control);
     }
 }
 
+/* Starts or stops the watch.  A starting node whose peers do not tell it the
+ * entries watches even if it is not chosen as a watcher.  Applies delayed
+ * removals. */
+void
+control_registry_tick(struct control *control)
+{
+    const struct control_registry *registry = &control->registry;
+
+    control_registry_watch(control, control_reads_store(control));
+    if (registry->removals_due_ms != 0 &&
+        control->now_ms >= registry->removals_due_ms) {
+        apply_delayed_removals(control);
+    }
+}
+
 /* ---- between nodes ---- */
 
+/* Records that an unknown entry has been removed, and tells the peers.
+ * Returns true if it is recorded. */
+static bool
+record_removal(struct control *control, const char *key)
+{
+    struct control_registered *entry = find_or_add(control, key);
+
+    if (entry == NULL) {
+        return false;
+    }
+    entry->revision = control->registry.listed_revision;
+    entry->broadcast_rounds = CONTROL_BROADCAST_ROUNDS;
+    return true;
+}
+
+/* Applies the entry of a peer that missed its removal.  For LAPSE_GRACE_MS
+ * after the listing, the entry may have lapsed in an outage: until then it is
+ * used, so that the server can register again. */
+static bool
+apply_stale_entry(struct control *control, const char *key, int64_t revision,
+                  GBytes *value, const char *from)
+{
+    struct control_registry *registry = &control->registry;
+    int64_t due_ms = registry->listed_ms + LAPSE_GRACE_MS;
+    struct control_registered *entry;
+    bool is_changed;
+
+    if (control->now_ms >= due_ms) {
+        base_log(BASE_LOG_NOTICE, "server.stale",
+                 "server=%s revision=%" G_GINT64_FORMAT " from=%s", key,
+                 revision, from);
+        return record_removal(control, key);
+    }
+    is_changed = apply_entry(control, key, revision, value, from);
+    entry = g_hash_table_lookup(registry->entries, key);
+    if (entry != NULL) {
+        delay_removal(control, entry, registry->listed_revision, due_ms);
+    }
+    return is_changed;
+}
+
+/* Returns true if the store's listing has no such entry, though it has all
+ * that existed at a later revision. */
+static bool
+is_stale(const struct control *control, const char *key, int64_t revision)
+{
+    return revision < control->registry.listed_revision &&
+           g_hash_table_lookup(control->registry.entries, key) == NULL;
+}
+
+static bool
+apply_from_peer(struct control *control, const char *key, int64_t revision,
+                GBytes *value, const char *from)
+{
+    return value != NULL && is_stale(control, key, revision)
+               ? apply_stale_entry(control, key, revision, value, from)
+               : apply_entry(control, key, revision, value, from);
+}
+
 /* Applies the servers' entries of a peer's update.  Returns true if any
  * content changed; the caller then broadcasts the changes. */
 bool
@@ -376,8 +466,8 @@
                             ? NULL
                             : g_bytes_new(from->value.data, from->value.len);
         if (from->key[0] != '\0' && control_is_valid_text(from->key, 201)) {
-            is_changed |= apply_entry(control, from->key, from->revision,
-                                      value, update->from_address);
+            is_changed |= apply_from_peer(control, from->key, from->revision,
+                                          value, update->from_address);
         }
         if (value != NULL) {
             g_bytes_unref(value);
--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -35,6 +35,7 @@
 
     void put(const std::string &text);
     void put_server(const std::string &key, const std::string &text);
+    void remove_server(const std::string &key);
     void deliver_listings();
     void beat();
     void cut_off_all_but(struct base_task *spared);
@@ -168,6 +169,15 @@
     }
 }
 
+/* Removes a server's entry; no watch is told. */
+void
+platform::remove_server(const std::string &key)
+{
+    std::lock_guard<std::mutex> guard(lock);
+    servers.erase(key);
+    revision++;
+}
+
 void
 platform::deliver_listings()
 {
@@ -532,6 +542,31 @@
     EXPECT_TRUE(cluster.all_use_servers(1));
 }
 
+/* A server that was removed while a node was cut off must not come back with
+ * that node, even if all the others started after the removal. */
+TEST(ControlPlatform, RemovedServerDoesNotComeBackWithACutOffNode)
+{
+    struct platform before; /* as the node that was cut off saw it */
+    Cluster cluster;
+    cluster.platform.config_key = before.config_key = SITE.config_key;
+    cluster.origin = &SITE;
+    for (struct platform *platform : {&before, &cluster.platform}) {
+        platform->put("1");
+        platform->put_server("servers/s0", "ready");
+        platform->put_server("servers/s1", "ready");
+    }
+    cluster.platform.remove_server("servers/s0");
+    cluster.add(3);
+    ASSERT_TRUE(cluster.all_use_servers(1));
+    before.revision =
+        1 << 20; /* a newer server shows that the node is heard */
+    before.put_server("servers/s2", "ready");
+    cluster.nodes.push_back(std::make_unique<TestNode>(
+        "n3", "etela-a", cluster.nodes[0]->address(), &before, nullptr,
+        &SITE));
+    EXPECT_TRUE(cluster.all_use_servers(2));
+}
+
 /* A server that registers while another node's listing is under way must not
  * be removed for not being in it. */
 TEST(ControlPlatform, ListingRemovesNoServerThatRegisteredAfterIt)
