Claim a job whose home has lost the store

A job whose runner had stopped waited for as long as its home was cut off from the key-value service, though other nodes reached it: the scanners handed the job to its home again and again, and its claims failed.

Change: a scanner, which reaches the service since it has listed the jobs, claims a job itself that has been without a runner for 3.5 s of its scans. The revision of the head decides between two claims, as before.

--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -527,6 +527,7 @@
     jobs_archive_finish(&jobs->archive);
     g_hash_table_destroy(jobs->submissions);
     g_hash_table_destroy(jobs->missing_since);
+    g_hash_table_destroy(jobs->orphaned_since);
     free_homes(jobs);
     g_ptr_array_free(jobs->stopped_runs, TRUE);
     world_unref(jobs->world);
@@ -556,6 +557,8 @@
     jobs->submissions = g_hash_table_new(g_str_hash, g_str_equal);
     jobs->missing_since =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    jobs->orphaned_since =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&jobs->lease_waits);
     jobs->stopped_runs = g_ptr_array_new();
     jobs->place = place_new(&place);
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -180,9 +180,11 @@
     int64_t next_lease_call_ms; /* time of the next call for lease or entry */
     /* scan for jobs without a runner */
     bool is_scanning;
-    int64_t next_scan_ms;      /* on base_clock_ms */
-    GHashTable *missing_since; /* runner to the time of the first scan without
-                                  its entry, of int64_t */
+    int64_t next_scan_ms;       /* on base_clock_ms */
+    GHashTable *missing_since;  /* runner to the time of the first scan without
+                                   its entry, of int64_t */
+    GHashTable *orphaned_since; /* job to the time of the first scan that found
+                                   it without a runner, of int64_t */
     /* metrics */
     struct base_counter *n_accepted;
     struct base_counter *n_completed;
--- a/packages/jobs/scan.c
+++ b/packages/jobs/scan.c
@@ -10,6 +10,9 @@
     SCAN_RETRY_MS = 500, /* ms until a scan after one that failed */
     SCAN_SOON_MS = 200, /* ms until a scan after an event that calls for one */
     RECHECK_MS = 300,   /* ms between scans while a runner may have stopped */
+    /* Time that a job's home has for claiming it: two calls to the store, each
+     * with a retry.  A home that does not reach the store never does. */
+    HOME_CLAIM_MS = 3500,
 };
 
 /* A scan's results. */
@@ -18,9 +21,10 @@
     int region;       /* index in jobs->homes */
     int64_t revision; /* of the store */
     int64_t now_ms;
-    GHashTable *entries;       /* runner to state text, both in the reply */
-    GHashTable *calls;         /* node name to struct jobs_request */
-    GHashTable *missing_since; /* the next jobs->missing_since */
+    GHashTable *entries;        /* runner to state text, both in the reply */
+    GHashTable *calls;          /* node name to struct jobs_request */
+    GHashTable *missing_since;  /* the next jobs->missing_since */
+    GHashTable *orphaned_since; /* the next jobs->orphaned_since */
     int n_orphans;
 };
 
@@ -36,14 +40,16 @@
            memcmp(state, JOBS_RUNNER_LEAVING, size) == 0;
 }
 
+/* Returns for how long consecutive scans have found a key.  `known` has the
+ * times of the first scans; `next` gets those that the next scan needs. */
 static int64_t
-missing_ms(struct scan *scan, const char *runner)
+found_for_ms(const struct scan *scan, GHashTable *known, GHashTable *next,
+             const char *key)
 {
-    const int64_t *known =
-        g_hash_table_lookup(scan->jobs->missing_since, runner);
-    int64_t since_ms = known != NULL ? *known : scan->now_ms;
+    const int64_t *first_ms = g_hash_table_lookup(known, key);
+    int64_t since_ms = first_ms != NULL ? *first_ms : scan->now_ms;
 
-    g_hash_table_replace(scan->missing_since, g_strdup(runner),
+    g_hash_table_replace(next, g_strdup(key),
                          g_memdup2(&since_ms, sizeof(since_ms)));
     return scan->now_ms - since_ms;
 }
@@ -71,7 +77,8 @@
     };
 
     if (entry == NULL) {
-        facts.missing_ms = missing_ms(scan, head->runner);
+        facts.missing_ms = found_for_ms(scan, scan->jobs->missing_since,
+                                        scan->missing_since, head->runner);
     }
     return jobs_runner_judge(&facts);
 }
@@ -221,12 +228,33 @@
     return jobs->region;
 }
 
+/* Returns the node that is to claim a job without a runner, or WORLD_NONE:
+ * its home, or this node if the home has not claimed it in time.  `runner` is
+ * the node of its last runner, or WORLD_NONE. */
+static int
+find_claimer(const struct scan *scan, const struct jobs_head *head, int runner)
+{
+    const struct jobs *jobs = scan->jobs;
+
+    if (found_for_ms(scan, jobs->orphaned_since, scan->orphaned_since,
+                     head->id) >= HOME_CLAIM_MS) {
+        return jobs->view->self;
+    }
+    /* A later process on the runner's node may claim it, but not a runner that
+     * cannot reach the store. */
+    if (runner >= 0 && (int64_t)jobs->view->nodes[runner].life >
+                           jobs_runner_life(head->runner)) {
+        runner = WORLD_NONE;
+    }
+    return jobs_homes_find(&jobs->homes[scan->region].nodes, head->id, runner);
+}
+
 static void
 check_job(struct scan *scan, const struct jobs_head *head, int64_t revision)
 {
     struct jobs *jobs = scan->jobs;
     int node = find_node(jobs, head->runner);
-    int home;
+    int claimer;
 
     switch (judge(scan, head, node)) {
     case JOBS_RUNNER_LIVE:
@@ -239,16 +267,10 @@
     case JOBS_RUNNER_STOPPED:
         break;
     }
-    /* A later process on the runner's node may claim it, but not a runner that
-     * cannot reach the store. */
-    if (node >= 0 && (int64_t)jobs->view->nodes[node].life >
-                         jobs_runner_life(head->runner)) {
-        node = WORLD_NONE;
-    }
-    home = jobs_homes_find(&jobs->homes[scan->region].nodes, head->id, node);
+    claimer = find_claimer(scan, head, node);
     scan->n_orphans++;
-    if (home != WORLD_NONE) {
-        add_check(scan, jobs->view->nodes[home].name, head, revision, true);
+    if (claimer != WORLD_NONE) {
+        add_check(scan, jobs->view->nodes[claimer].name, head, revision, true);
     }
 }
 
@@ -306,29 +328,22 @@
 }
 
 static void
-scan_region(struct jobs *jobs, int region, const struct platform_kv *kv,
-            GHashTable *missing_since)
+scan_region(struct scan *scan, int region, const struct platform_kv *kv)
 {
-    struct scan scan = {
-        .jobs = jobs,
-        .region = region,
-        .revision = kv->revision,
-        .now_ms = base_clock_ms(),
-        .entries = g_hash_table_new(g_str_hash, g_str_equal),
-        .calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-        .missing_since = missing_since,
-    };
-
-    index_entries(&scan, kv);
-    check_jobs(&scan, kv);
-    deliver_calls(&scan);
+    scan->region = region;
+    scan->entries = g_hash_table_new(g_str_hash, g_str_equal);
+    scan->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    scan->n_orphans = 0;
+    index_entries(scan, kv);
+    check_jobs(scan, kv);
+    deliver_calls(scan);
     base_log(BASE_LOG_DEBUG, "jobs.scanned",
              "region=%s entries=%u runners=%u orphans=%d "
              "revision=%" G_GINT64_FORMAT,
-             jobs->homes[region].name, kv->entries->len,
-             g_hash_table_size(scan.entries), scan.n_orphans, kv->revision);
-    g_hash_table_destroy(scan.entries);
-    g_hash_table_destroy(scan.calls);
+             scan->jobs->homes[region].name, kv->entries->len,
+             g_hash_table_size(scan->entries), scan->n_orphans, kv->revision);
+    g_hash_table_destroy(scan->entries);
+    g_hash_table_destroy(scan->calls);
 }
 
 static bool
@@ -340,23 +355,31 @@
 static void
 on_scanned(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
-    GHashTable *missing_since;
+    struct scan scan = {
+        .jobs = jobs,
+        .revision = kv->revision,
+        .now_ms = base_clock_ms(),
+    };
 
     (void)context;
     jobs->is_scanning = false;
     if (kv->status != PLATFORM_OK) {
-        jobs->next_scan_ms = base_clock_ms() + SCAN_RETRY_MS;
+        jobs->next_scan_ms = scan.now_ms + SCAN_RETRY_MS;
         return;
     }
-    missing_since =
+    scan.missing_since =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    scan.orphaned_since =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (int i = 0; i < jobs->n_homes; i++) {
         if (scans_region(jobs, i)) {
-            scan_region(jobs, i, kv, missing_since);
+            scan_region(&scan, i, kv);
         }
     }
     g_hash_table_destroy(jobs->missing_since);
-    jobs->missing_since = missing_since;
+    g_hash_table_destroy(jobs->orphaned_since);
+    jobs->missing_since = scan.missing_since;
+    jobs->orphaned_since = scan.orphaned_since;
 }
 
 /* Scans all jobs soon instead of at the usual time. */
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1452,6 +1452,30 @@
     }
 }
 
+/* A job whose runner stopped must not wait for a home that is alive but cannot
+ * reach the store. */
+TEST(Jobs, AJobIsClaimedThoughItsHomeHasLostTheStore)
+{
+    for (int n_cut : {2, 3}) { /* one of them is the home */
+        Site site;
+        site.members.resize(3);
+        site.members[1].address = free_address();
+        site.members[2].address = free_address();
+        site.store.n_busy_answers = 1000000; /* nothing runs at node one */
+        auto one = std::make_unique<Node>(site, "n1");
+        ASSERT_EQ(one->submit("j", "a b"), JOBS_OK);
+        one->stop();
+        end_leases_of("n1");
+        site.members[0].state = MEMBERS_DEAD;
+        site.store.n_busy_answers = 0;
+        Node two(site, "n2");
+        Node three(site, "n3");
+        (n_cut == 2 ? two : three).link.is_cut = true;
+        EXPECT_EQ((n_cut == 2 ? three : two).wait_for("j", 2).size(), 2u)
+            << n_cut;
+    }
+}
+
 TEST(Jobs, AnItemsInputIsReadBackUnchanged)
 {
     Site site;
