Resend requests between nodes that were lost in a reset

A node could be without a new configuration for six seconds and more, and refuse requests of new routes with 404: its request for the record waited its whole time-out, 3 s, twice in a row.

Cause: the first bytes to a node whose process was killed and started again are lost in a reset. ZeroMQ connects anew by itself, the new connection answers the probes, and so the request counted as under way until its time-out. Requests for slots and jobs' calls waited likewise.

Change: the endpoint watches its outgoing socket for closed connections. Then idempotent requests are sent once more at once, and the others fail; without requests, the owner hears that one-way messages may be lost, and resends the releases of slots.

WireSilence.RequestLostInAResetIsResentOrFailsAtOnce failed before: no answer within 10 s of a time limit of 20 s, now at once.

--- a/packages/wire/endpoint.c
+++ b/packages/wire/endpoint.c
@@ -41,24 +41,32 @@
     return socket;
 }
 
-/* Opens the monitor socket that reports failed handshakes on `inbound`.  Each
- * new inbound socket needs its own monitor. */
-static void
-watch_handshakes(struct wire_endpoint *endpoint)
+/* Opens a socket that reports events of a socket. */
+static void *
+open_monitor(struct wire_endpoint *endpoint, void *socket, int events)
 {
+    void *monitor = zmq_socket(endpoint->zmq, ZMQ_PAIR);
     char target[64];
 
+    snprintf(target, sizeof(target), "inproc://monitor-%p", socket);
+    zmq_socket_monitor(socket, target, events);
+    set_option(monitor, ZMQ_LINGER, 0);
+    set_option(monitor, ZMQ_RCVHWM, 0); /* ZeroMQ's thread must not wait */
+    zmq_connect(monitor, target);
+    return monitor;
+}
+
+/* Watches for failed handshakes on `inbound`.  Each new inbound socket needs
+ * its own monitor. */
+static void
+watch_handshakes(struct wire_endpoint *endpoint)
+{
     if (endpoint->monitor != NULL) {
         zmq_close(endpoint->monitor);
     }
-    snprintf(target, sizeof(target), "inproc://handshakes-%p",
-             endpoint->inbound);
-    zmq_socket_monitor(endpoint->inbound, target,
-                       ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
-                           ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL);
-    endpoint->monitor = zmq_socket(endpoint->zmq, ZMQ_PAIR);
-    set_option(endpoint->monitor, ZMQ_LINGER, 0);
-    zmq_connect(endpoint->monitor, target);
+    endpoint->monitor = open_monitor(endpoint, endpoint->inbound,
+                                     ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                                         ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL);
 }
 
 /* Counts connections whose handshake failed: the peer did not use CURVE, or
@@ -75,6 +83,31 @@
     }
 }
 
+/* Handles closed outgoing connections.  The second frame of an event is the
+ * peer's address. */
+static void
+receive_disconnects(struct wire_endpoint *endpoint)
+{
+    static const char SCHEME[] = "tcp://";
+    char event[16];
+    char target[2 * WIRE_ADDRESS_SIZE];
+
+    while (zmq_recv(endpoint->outbound_monitor, event, sizeof(event),
+                    ZMQ_DONTWAIT) >= 0) {
+        int size = zmq_recv(endpoint->outbound_monitor, target,
+                            sizeof(target) - 1, ZMQ_DONTWAIT);
+        struct wire_peer *peer;
+        target[CLAMP(size, 0, (int)sizeof(target) - 1)] = '\0';
+        peer =
+            g_str_has_prefix(target, SCHEME)
+                ? g_hash_table_lookup(endpoint->peers, target + strlen(SCHEME))
+                : NULL;
+        if (peer != NULL) {
+            wire_peer_disconnected(endpoint, peer, endpoint->now_ms);
+        }
+    }
+}
+
 /* Opens the inbound socket with the current keys and binds its address.  If
  * it is open, it is closed first.  Fails with BASE_INVALID or
  * BASE_UNAVAILABLE. */
@@ -151,6 +184,8 @@
     endpoint->outbound = open_router(endpoint);
     set_option(endpoint->outbound, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     set_option(endpoint->outbound, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    endpoint->outbound_monitor =
+        open_monitor(endpoint, endpoint->outbound, ZMQ_EVENT_DISCONNECTED);
     return wire_inbound_open(endpoint, err);
 }
 
@@ -206,7 +241,7 @@
 wire_endpoint_finish(struct wire_endpoint *endpoint)
 {
     void *sockets[] = {endpoint->inbound, endpoint->outbound, endpoint->zap,
-                       endpoint->monitor};
+                       endpoint->monitor, endpoint->outbound_monitor};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sockets); i++) {
         if (sockets[i] != NULL) {
@@ -434,6 +469,7 @@
     count_handshakes(endpoint);
     has_more = receive_all(endpoint, endpoint->inbound, true);
     has_more |= receive_all(endpoint, endpoint->outbound, false);
+    receive_disconnects(endpoint);
     if (now_ms >= endpoint->next_tick_ms) {
         tick(endpoint);
     }
@@ -448,7 +484,7 @@
 }
 
 /* Waits up to timeout_ms for a packet, an authentication request, a failed
- * handshake or data on wake_fd (-1: none). */
+ * handshake, a closed connection or data on wake_fd (-1: none). */
 void
 wire_endpoint_wait(struct wire_endpoint *endpoint, int wake_fd,
                    int64_t timeout_ms)
@@ -458,9 +494,12 @@
         {endpoint->outbound, 0, ZMQ_POLLIN, 0},
         {endpoint->zap, 0, ZMQ_POLLIN, 0},
         {endpoint->monitor, 0, ZMQ_POLLIN, 0},
+        {endpoint->outbound_monitor, 0, ZMQ_POLLIN, 0},
         {NULL, wake_fd, ZMQ_POLLIN, 0},
     };
-    zmq_poll(items, wake_fd >= 0 ? 5 : 4, timeout_ms);
+    int n_items = (int)G_N_ELEMENTS(items);
+
+    zmq_poll(items, wake_fd >= 0 ? n_items : n_items - 1, timeout_ms);
 }
 
 /* Stores the descriptors that a caller with its own event loop polls for
@@ -471,7 +510,8 @@
 wire_endpoint_fds(const struct wire_endpoint *endpoint, int fds[WIRE_FDS])
 {
     void *sockets[WIRE_FDS] = {endpoint->inbound, endpoint->outbound,
-                               endpoint->zap, endpoint->monitor};
+                               endpoint->zap, endpoint->monitor,
+                               endpoint->outbound_monitor};
 
     for (int i = 0; i < WIRE_FDS; i++) {
         size_t size = sizeof(fds[i]);
--- a/packages/wire/peers.c
+++ b/packages/wire/peers.c
@@ -193,6 +193,26 @@
     resend_or_fail(endpoint, peer);
 }
 
+/* Notes that a connection was closed or reset by the peer, for instance when
+ * its process starts again.  ZeroMQ connects anew by itself, so that probes
+ * are answered, but what was sent on the old connection may be lost.  A
+ * connection that never worked is left to its connect_ms: it may need another
+ * key. */
+void
+wire_peer_disconnected(struct wire_endpoint *endpoint, struct wire_peer *peer,
+                       int64_t now_ms)
+{
+    if (!peer->has_received) {
+        return;
+    }
+    if (peer->n_pending > 0) {
+        wire_peer_reopen(endpoint, peer, now_ms);
+    }
+    else if (endpoint->desc.reopened != NULL) {
+        endpoint->desc.reopened(endpoint->desc.context, peer->address);
+    }
+}
+
 static void
 probe(struct wire_endpoint *endpoint, struct wire_peer *peer, int64_t now_ms)
 {
--- a/packages/wire/test_silent.cc
+++ b/packages/wire/test_silent.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <poll.h>
 #include <string>
@@ -15,7 +16,8 @@
 enum { ECHO = WIRE_FIRST_KIND };
 
 /* A TCP relay to one port.  silence() stops relaying on all open connections
- * for good without closing them; connections opened later work. */
+ * for good without closing them; connections opened later work.  After
+ * lose_next() the next bytes are dropped, and their connection is reset. */
 class Relay {
   public:
     explicit Relay(int target_port) : target_port_(target_port)
@@ -52,6 +54,12 @@
         }
     }
 
+    void
+    lose_next()
+    {
+        __atomic_store_n(&wants_loss_, true, __ATOMIC_SEQ_CST);
+    }
+
   private:
     struct Pair {
         int a;
@@ -62,6 +70,7 @@
     int listener_ = -1;
     bool is_stopping_ = false;
     bool wants_silence_ = false;
+    bool wants_loss_ = false;
     std::vector<Pair> pairs_;
     std::vector<int> fds_;
     std::thread thread_;
@@ -90,6 +99,13 @@
             }
             poll(polled.data(), polled.size(), 5);
             for (size_t i = 0; i < pairs_.size(); i++) {
+                if ((polled[1 + 2 * i].revents & POLLIN) != 0 &&
+                    __atomic_exchange_n(&wants_loss_, false,
+                                        __ATOMIC_SEQ_CST)) {
+                    reset(pairs_[i]);
+                    pairs_.erase(pairs_.begin() + (ssize_t)i);
+                    break;
+                }
                 forward(polled[1 + 2 * i], pairs_[i].a, pairs_[i].b);
                 forward(polled[2 + 2 * i], pairs_[i].b, pairs_[i].a);
             }
@@ -109,6 +125,16 @@
         fds_.push_back(pair.a);
         fds_.push_back(pair.b);
     }
+    void
+    reset(const Pair &pair)
+    {
+        struct linger at_once = {1, 0};
+        for (int fd : {pair.a, pair.b}) {
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+            close(fd);
+            fds_.erase(std::find(fds_.begin(), fds_.end(), fd));
+        }
+    }
     static void
     forward(const struct pollfd &polled, int from, int to)
     {
@@ -229,4 +255,26 @@
     }
 }
 
+/* A request that was lost with its connection must not wait for its time-out
+ * because the next connection answers the probes. */
+TEST(WireSilence, RequestLostInAResetIsResentOrFailsAtOnce)
+{
+    Peer a("a");
+    Peer b("b");
+    Relay relay(b.port());
+    size_t n_answers = 0;
+
+    for (bool is_idempotent : {true, false, true}) {
+        a.request(relay.address(), true);
+        ASSERT_TRUE(a.until_answered(b, ++n_answers));
+        int n_received = b.n_received;
+        relay.lose_next();
+        a.request(relay.address(), is_idempotent);
+        ASSERT_TRUE(a.until_answered(b, ++n_answers));
+        EXPECT_EQ(a.answers.back().code,
+                  is_idempotent ? BASE_OK : BASE_UNAVAILABLE);
+        EXPECT_EQ(b.n_received, n_received + (is_idempotent ? 1 : 0));
+    }
+}
+
 } // namespace
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -21,8 +21,8 @@
  *
  * Connections are opened on first use and closed when idle.  While a request
  * has no answer, its connection is probed.  A connection on which nothing is
- * received for silence_ms is replaced by a new one; idempotent requests are
- * then sent once more, and the other requests fail.
+ * received for silence_ms, or which the peer closes, is replaced by a new one;
+ * idempotent requests are then sent once more, and the other requests fail.
  */
 #ifndef CARDAMOM_WIRE_H
 #define CARDAMOM_WIRE_H
@@ -100,8 +100,9 @@
     struct base_counters *counters;
     const char *(*kind_name)(uint32_t kind); /* metric label; may be NULL */
     void (*received)(void *context, const struct wire_message *message);
-    /* The connection to `address` has been replaced; one-way messages sent on
-     * the old one within the last seconds may be lost.  May be NULL. */
+    /* The connection to `address` has been lost or replaced; one-way messages
+     * sent on the old one within the last seconds may be lost.  May be NULL.
+     */
     void (*reopened)(void *context, const char *address);
     void *context;
 };
@@ -117,6 +118,7 @@
     void *outbound;
     void *zap;               /* socket of the ZAP (authentication) handler */
     void *monitor;           /* reports failed handshakes on inbound */
+    void *outbound_monitor;  /* reports closed connections of outbound */
     struct wire_keys *keys;  /* NULL: no CURVE */
     GHashTable *peers;       /* struct wire_peer by address */
     GHashTable *by_route;    /* struct wire_peer by routing id */
@@ -159,7 +161,7 @@
 int wire_endpoint_service(struct wire_endpoint *endpoint, int64_t now_ms);
 void wire_endpoint_wait(struct wire_endpoint *endpoint, int wake_fd,
                         int64_t timeout_ms);
-enum { WIRE_FDS = 4 };
+enum { WIRE_FDS = 5 };
 int wire_endpoint_fds(const struct wire_endpoint *endpoint, int fds[WIRE_FDS]);
 
 bool wire_keys_create(const char *public_path, const char *secret_path,
--- a/packages/wire/wire_private.h
+++ b/packages/wire/wire_private.h
@@ -91,6 +91,8 @@
 void wire_peer_free(gpointer data);
 void wire_peer_reopen(struct wire_endpoint *endpoint, struct wire_peer *peer,
                       int64_t now_ms);
+void wire_peer_disconnected(struct wire_endpoint *endpoint,
+                            struct wire_peer *peer, int64_t now_ms);
 bool wire_peer_flush(struct wire_endpoint *endpoint, struct wire_peer *peer);
 void wire_peer_queue(struct wire_peer *peer, uint32_t kind, uint64_t request,
                      const void *body, size_t size);
