Log failed pulls of the configuration

A node that was late with a configuration left no line that told why: pulls from peers that fail were silent. Change: config.pull_failed with the peer, the code and the time waited.

--- a/packages/control/config_sync.c
+++ b/packages/control/config_sync.c
@@ -277,6 +277,13 @@
 
     control->config_sync.is_pulling = false;
     control->config_sync.next_pull_ms = control->now_ms + PULL_RETRY_MS;
+    if (answer->code != BASE_OK) {
+        base_log(BASE_LOG_NOTICE, "config.pull_failed",
+                 "peer=%s code=%s waited_ms=%" G_GINT64_FORMAT,
+                 control->config_sync.pulled_from,
+                 base_code_name(answer->code),
+                 base_clock_ms() - control->config_sync.pulled_at_ms);
+    }
     if (answer->code == BASE_OK && answer->kind == CONTROL_RECORD) {
         record = control__record__unpack(NULL, answer->size, answer->body);
     }
@@ -310,6 +317,9 @@
     desc.body = bytes.data;
     desc.size = bytes.size;
     control->config_sync.is_pulling = true;
+    control->config_sync.pulled_at_ms = base_clock_ms();
+    g_strlcpy(control->config_sync.pulled_from, address,
+              sizeof(control->config_sync.pulled_from));
     wire_request(&control->endpoint, &desc);
     g_free(bytes.data);
 }
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -177,6 +177,8 @@
     uint64_t watch;          /* 0: not a watcher */
     bool is_reading;         /* a read of the key-value service is pending */
     bool is_pulling;
+    char pulled_from[MEMBERS_ADDRESS_SIZE]; /* the peer of the last pull */
+    int64_t pulled_at_ms;
     bool has_read; /* the key-value service has answered a read */
     int64_t started_at_ms;
     int64_t next_read_ms;
