Notice lost connections of nodes with a source address, and unanswered ones

Cause: with a source address ZeroMQ names a connection "tcp://SOURCE:0;ADDRESS", which matched no peer; and a connection on which only one-way messages were sent has received nothing, which counted as one whose key may be wrong.

Change: the address is taken from both forms, and a connection counts as established by ZeroMQ's event for the end of its handshake.

WireSilence.RequestLostInAResetIsResentOrFailsAtOnce has both cases now and failed before.

--- a/packages/wire/endpoint.c
+++ b/packages/wire/endpoint.c
@@ -83,26 +83,43 @@
     }
 }
 
-/* Handles closed outgoing connections.  The second frame of an event is the
- * peer's address. */
+/* Returns the peer that an event's second frame, the target of its connection,
+ * names; NULL if there is none. */
+static struct wire_peer *
+receive_event_peer(struct wire_endpoint *endpoint)
+{
+    char target[2 * WIRE_ADDRESS_SIZE + 8];
+    int size = zmq_recv(endpoint->outbound_monitor, target, sizeof(target) - 1,
+                        ZMQ_DONTWAIT);
+    const char *address;
+
+    target[CLAMP(size, 0, (int)sizeof(target) - 1)] = '\0';
+    /* With a source address: "tcp://SOURCE:0;ADDRESS". */
+    address = strrchr(target, ';');
+    address = address != NULL ? address : strrchr(target, '/');
+    return address != NULL ? g_hash_table_lookup(endpoint->peers, address + 1)
+                           : NULL;
+}
+
+/* Notes outgoing connections that are established or closed.  An event starts
+ * with its number, in 16 bits. */
 static void
-receive_disconnects(struct wire_endpoint *endpoint)
+receive_connection_events(struct wire_endpoint *endpoint)
 {
-    static const char SCHEME[] = "tcp://";
     char event[16];
-    char target[2 * WIRE_ADDRESS_SIZE];
 
     while (zmq_recv(endpoint->outbound_monitor, event, sizeof(event),
-                    ZMQ_DONTWAIT) >= 0) {
-        int size = zmq_recv(endpoint->outbound_monitor, target,
-                            sizeof(target) - 1, ZMQ_DONTWAIT);
-        struct wire_peer *peer;
-        target[CLAMP(size, 0, (int)sizeof(target) - 1)] = '\0';
-        peer =
-            g_str_has_prefix(target, SCHEME)
-                ? g_hash_table_lookup(endpoint->peers, target + strlen(SCHEME))
-                : NULL;
-        if (peer != NULL) {
+                    ZMQ_DONTWAIT) >= (int)sizeof(uint16_t)) {
+        struct wire_peer *peer = receive_event_peer(endpoint);
+        uint16_t number;
+        memcpy(&number, event, sizeof(number));
+        if (peer == NULL) {
+            continue;
+        }
+        if (number == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
+            peer->is_established = true;
+        }
+        else {
             wire_peer_disconnected(endpoint, peer, endpoint->now_ms);
         }
     }
@@ -185,7 +202,8 @@
     set_option(endpoint->outbound, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     set_option(endpoint->outbound, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
     endpoint->outbound_monitor =
-        open_monitor(endpoint, endpoint->outbound, ZMQ_EVENT_DISCONNECTED);
+        open_monitor(endpoint, endpoint->outbound,
+                     ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
     return wire_inbound_open(endpoint, err);
 }
 
@@ -469,7 +487,7 @@
     count_handshakes(endpoint);
     has_more = receive_all(endpoint, endpoint->inbound, true);
     has_more |= receive_all(endpoint, endpoint->outbound, false);
-    receive_disconnects(endpoint);
+    receive_connection_events(endpoint);
     if (now_ms >= endpoint->next_tick_ms) {
         tick(endpoint);
     }
--- a/packages/wire/peers.c
+++ b/packages/wire/peers.c
@@ -29,6 +29,7 @@
 
     base_counter_add(endpoint->connections, 1);
     peer->route = ++endpoint->next_route;
+    peer->is_established = false;
     peer->has_received = false;
     peer->opened_at_ms = now_ms;
     peer->last_received_ms = 0;
@@ -202,7 +203,7 @@
 wire_peer_disconnected(struct wire_endpoint *endpoint, struct wire_peer *peer,
                        int64_t now_ms)
 {
-    if (!peer->has_received) {
+    if (!peer->is_established) {
         return;
     }
     if (peer->n_pending > 0) {
--- a/packages/wire/test_silent.cc
+++ b/packages/wire/test_silent.cc
@@ -160,13 +160,14 @@
     std::vector<std::string> reopened;
     int n_received = 0;
 
-    explicit Peer(const char *name)
+    explicit Peer(const char *name, const char *source = nullptr)
     {
         struct base_error err = {};
         struct wire_endpoint_desc desc = {};
         base_counters_init(&counters);
         desc.node = name;
         desc.address = "127.0.0.1:*";
+        desc.source = source;
         /* Long enough that a delay on a busy machine does not count as
          * silence. */
         desc.silence_ms = 1000;
@@ -176,7 +177,9 @@
         desc.received = [](void *context, const struct wire_message *message) {
             Peer *self = (Peer *)context;
             self->n_received++;
-            wire_reply(&self->endpoint, &message->from, ECHO, nullptr, 0);
+            if (message->from.request != 0) {
+                wire_reply(&self->endpoint, &message->from, ECHO, nullptr, 0);
+            }
         };
         desc.reopened = [](void *context, const char *address) {
             ((Peer *)context)->reopened.push_back(address);
@@ -207,16 +210,32 @@
         };
         wire_request(&endpoint, &desc);
     }
+    void
+    send(const std::string &to)
+    {
+        wire_send(&endpoint, to.c_str(), ECHO, nullptr, 0);
+    }
+    template <class F>
     bool
-    until_answered(Peer &other, size_t n_answers)
+    until(Peer &other, F is_done)
     {
-        for (int round = 0; round < 10000 && answers.size() < n_answers;
-             round++) {
+        for (int round = 0; round < 10000 && !is_done(); round++) {
             wire_endpoint_service(&endpoint, base_clock_ms());
             wire_endpoint_service(&other.endpoint, base_clock_ms());
             wire_endpoint_wait(&endpoint, -1, 1);
         }
-        return answers.size() == n_answers;
+        return is_done();
+    }
+    bool
+    until_answered(Peer &other, size_t n_answers)
+    {
+        return until(other, [&] { return answers.size() >= n_answers; }) &&
+               answers.size() == n_answers;
+    }
+    bool
+    until_received_by(Peer &other, int n_received)
+    {
+        return until(other, [&] { return other.n_received >= n_received; });
     }
 };
 
@@ -259,21 +278,35 @@
  * because the next connection answers the probes. */
 TEST(WireSilence, RequestLostInAResetIsResentOrFailsAtOnce)
 {
-    Peer a("a");
-    Peer b("b");
-    Relay relay(b.port());
-    size_t n_answers = 0;
+    struct {
+        bool is_idempotent;
+        bool has_received; /* on the connection that is reset */
+        const char *source;
+    } cases[] = {{true, true, nullptr},
+                 {false, true, nullptr},
+                 {true, false, nullptr},
+                 {false, false, "127.0.0.1"},
+                 {true, true, "127.0.0.1"}};
 
-    for (bool is_idempotent : {true, false, true}) {
-        a.request(relay.address(), true);
-        ASSERT_TRUE(a.until_answered(b, ++n_answers));
-        int n_received = b.n_received;
+    for (const auto &c : cases) {
+        Peer a("a", c.source);
+        Peer b("b");
+        Relay relay(b.port());
+        size_t n_answers = 0;
+        if (c.has_received) {
+            a.request(relay.address(), true);
+            ASSERT_TRUE(a.until_answered(b, ++n_answers));
+        }
+        else {
+            a.send(relay.address());
+        }
+        ASSERT_TRUE(a.until_received_by(b, 1));
         relay.lose_next();
-        a.request(relay.address(), is_idempotent);
+        a.request(relay.address(), c.is_idempotent);
         ASSERT_TRUE(a.until_answered(b, ++n_answers));
         EXPECT_EQ(a.answers.back().code,
-                  is_idempotent ? BASE_OK : BASE_UNAVAILABLE);
-        EXPECT_EQ(b.n_received, n_received + (is_idempotent ? 1 : 0));
+                  c.is_idempotent ? BASE_OK : BASE_UNAVAILABLE);
+        EXPECT_EQ(b.n_received, c.is_idempotent ? 2 : 1);
     }
 }
 
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -118,7 +118,7 @@
     void *outbound;
     void *zap;               /* socket of the ZAP (authentication) handler */
     void *monitor;           /* reports failed handshakes on inbound */
-    void *outbound_monitor;  /* reports closed connections of outbound */
+    void *outbound_monitor;  /* reports connections of outbound */
     struct wire_keys *keys;  /* NULL: no CURVE */
     GHashTable *peers;       /* struct wire_peer by address */
     GHashTable *by_route;    /* struct wire_peer by routing id */
--- a/packages/wire/wire_private.h
+++ b/packages/wire/wire_private.h
@@ -27,9 +27,10 @@
 /* The connection to a peer, and the messages queued for it. */
 struct wire_peer {
     char address[WIRE_ADDRESS_SIZE];
-    uint64_t route;    /* ZeroMQ routing id; a new one for each connection */
-    bool has_received; /* a packet was received on this connection */
-    int key_index;     /* index of the candidate key in use, see keys.c */
+    uint64_t route;      /* ZeroMQ routing id; a new one for each connection */
+    bool is_established; /* the handshake of this connection succeeded */
+    bool has_received;   /* a packet was received on this connection */
+    int key_index;       /* index of the candidate key in use, see keys.c */
     int64_t opened_at_ms;
     int64_t last_received_ms; /* 0: nothing received on this connection */
     int64_t waiting_since_ms; /* start of the wait for answers, or the last
