--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -34,6 +34,7 @@
     int n_lists = 0;
 
     void put(const std::string &text);
+    void use_site(const std::vector<std::string> &keys);
     void put_server(const std::string &key, const std::string &text);
     void remove_server(const std::string &key);
     void deliver_listings();
@@ -393,6 +394,21 @@
                                   .retired_prefix = nullptr,
                                   .retired_text = nullptr};
 
+} // namespace
+
+/* Holds the configuration of a site whose servers, by key, are ready. */
+void
+platform::use_site(const std::vector<std::string> &keys)
+{
+    config_key = SITE.config_key;
+    put("1");
+    for (const std::string &key : keys) {
+        put_server(key, "ready");
+    }
+}
+
+namespace {
+
 /* Nodes in two zones that share one platform. */
 struct Cluster {
     struct platform platform;
@@ -400,6 +416,13 @@
     std::vector<std::unique_ptr<TestNode>> nodes;
     const struct world_source *origin = nullptr;
 
+    /* Makes the platform that of a site with these servers. */
+    void
+    use_site(const std::vector<std::string> &servers)
+    {
+        origin = &SITE;
+        platform.use_site(servers);
+    }
     void
     add(int n_nodes)
     {
@@ -529,11 +552,7 @@
 TEST(ControlPlatform, DrainingServerIsNoticedWhenOneNodeReachesTheStore)
 {
     Cluster cluster;
-    cluster.platform.config_key = SITE.config_key;
-    cluster.origin = &SITE;
-    cluster.platform.put("1");
-    cluster.platform.put_server("servers/s0", "ready");
-    cluster.platform.put_server("servers/s1", "ready");
+    cluster.use_site({"servers/s0", "servers/s1"});
     cluster.add(6);
     ASSERT_TRUE(cluster.all_have_revision(1));
     ASSERT_TRUE(cluster.all_use_servers(2));
@@ -548,13 +567,8 @@
 {
     struct platform before; /* as the node that was cut off saw it */
     Cluster cluster;
-    cluster.platform.config_key = before.config_key = SITE.config_key;
-    cluster.origin = &SITE;
-    for (struct platform *platform : {&before, &cluster.platform}) {
-        platform->put("1");
-        platform->put_server("servers/s0", "ready");
-        platform->put_server("servers/s1", "ready");
-    }
+    before.use_site({"servers/s0", "servers/s1"});
+    cluster.use_site({"servers/s0", "servers/s1"});
     cluster.platform.remove_server("servers/s0");
     cluster.add(3);
     ASSERT_TRUE(cluster.all_use_servers(1));
@@ -572,10 +586,7 @@
 TEST(ControlPlatform, ListingRemovesNoServerThatRegisteredAfterIt)
 {
     Cluster cluster;
-    cluster.platform.config_key = SITE.config_key;
-    cluster.origin = &SITE;
-    cluster.platform.put("1");
-    cluster.platform.put_server("servers/s0", "ready");
+    cluster.use_site({"servers/s0"});
     cluster.add(1);
     ASSERT_TRUE(cluster.all_use_servers(1));
     cluster.platform.holds_listings = true;
