Take the answers of a peer before its closed connection is handled

A request that was answered just before its peer closed the connection, as in a planned stop, could fail as "may have run": the monitor's event can be seen before the answer is taken from the queue. Found by reading, no run shows it, and no test can order the two threads.

Change: answers are received once more between the event and its handling. The monitors are named after their sockets.

--- a/packages/wire/endpoint.c
+++ b/packages/wire/endpoint.c
@@ -61,12 +61,13 @@
 static void
 watch_handshakes(struct wire_endpoint *endpoint)
 {
-    if (endpoint->monitor != NULL) {
-        zmq_close(endpoint->monitor);
+    if (endpoint->inbound_monitor != NULL) {
+        zmq_close(endpoint->inbound_monitor);
     }
-    endpoint->monitor = open_monitor(endpoint, endpoint->inbound,
-                                     ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
-                                         ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL);
+    endpoint->inbound_monitor =
+        open_monitor(endpoint, endpoint->inbound,
+                     ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                         ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL);
 }
 
 /* Counts connections whose handshake failed: the peer did not use CURVE, or
@@ -76,55 +77,14 @@
 {
     char event[64];
 
-    while (zmq_recv(endpoint->monitor, event, sizeof(event), ZMQ_DONTWAIT) >=
-           0) {
-        zmq_recv(endpoint->monitor, event, sizeof(event), ZMQ_DONTWAIT);
+    while (zmq_recv(endpoint->inbound_monitor, event, sizeof(event),
+                    ZMQ_DONTWAIT) >= 0) {
+        zmq_recv(endpoint->inbound_monitor, event, sizeof(event),
+                 ZMQ_DONTWAIT);
         base_counter_add(endpoint->refused_handshakes, 1);
     }
 }
 
-/* Returns the peer that an event's second frame, the target of its connection,
- * names; NULL if there is none. */
-static struct wire_peer *
-receive_event_peer(struct wire_endpoint *endpoint)
-{
-    char target[2 * WIRE_ADDRESS_SIZE + 8];
-    int size = zmq_recv(endpoint->outbound_monitor, target, sizeof(target) - 1,
-                        ZMQ_DONTWAIT);
-    const char *address;
-
-    target[CLAMP(size, 0, (int)sizeof(target) - 1)] = '\0';
-    /* With a source address: "tcp://SOURCE:0;ADDRESS". */
-    address = strrchr(target, ';');
-    address = address != NULL ? address : strrchr(target, '/');
-    return address != NULL ? g_hash_table_lookup(endpoint->peers, address + 1)
-                           : NULL;
-}
-
-/* Notes outgoing connections that are established or closed.  An event starts
- * with its number, in 16 bits. */
-static void
-receive_connection_events(struct wire_endpoint *endpoint)
-{
-    char event[16];
-
-    while (zmq_recv(endpoint->outbound_monitor, event, sizeof(event),
-                    ZMQ_DONTWAIT) >= (int)sizeof(uint16_t)) {
-        struct wire_peer *peer = receive_event_peer(endpoint);
-        uint16_t number;
-        memcpy(&number, event, sizeof(number));
-        if (peer == NULL) {
-            continue;
-        }
-        if (number == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
-            peer->is_established = true;
-        }
-        else {
-            wire_peer_disconnected(endpoint, peer, endpoint->now_ms);
-        }
-    }
-}
-
 /* Opens the inbound socket with the current keys and binds its address.  If
  * it is open, it is closed first.  Fails with BASE_INVALID or
  * BASE_UNAVAILABLE. */
@@ -259,7 +219,7 @@
 wire_endpoint_finish(struct wire_endpoint *endpoint)
 {
     void *sockets[] = {endpoint->inbound, endpoint->outbound, endpoint->zap,
-                       endpoint->monitor, endpoint->outbound_monitor};
+                       endpoint->inbound_monitor, endpoint->outbound_monitor};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sockets); i++) {
         if (sockets[i] != NULL) {
@@ -423,6 +383,49 @@
     return true;
 }
 
+/* Returns the peer that an event's second frame, the target of its connection,
+ * names; NULL if there is none. */
+static struct wire_peer *
+receive_event_peer(struct wire_endpoint *endpoint)
+{
+    char target[2 * WIRE_ADDRESS_SIZE + 8];
+    int size = zmq_recv(endpoint->outbound_monitor, target, sizeof(target) - 1,
+                        ZMQ_DONTWAIT);
+    const char *address;
+
+    target[CLAMP(size, 0, (int)sizeof(target) - 1)] = '\0';
+    /* With a source address: "tcp://SOURCE:0;ADDRESS". */
+    address = strrchr(target, ';');
+    address = address != NULL ? address : strrchr(target, '/');
+    return address != NULL ? g_hash_table_lookup(endpoint->peers, address + 1)
+                           : NULL;
+}
+
+/* Notes outgoing connections that are established or closed.  An event starts
+ * with its number, in 16 bits. */
+static void
+receive_connection_events(struct wire_endpoint *endpoint)
+{
+    char event[16];
+
+    while (zmq_recv(endpoint->outbound_monitor, event, sizeof(event),
+                    ZMQ_DONTWAIT) >= (int)sizeof(uint16_t)) {
+        struct wire_peer *peer = receive_event_peer(endpoint);
+        uint16_t number;
+        memcpy(&number, event, sizeof(number));
+        if (peer == NULL) {
+            continue;
+        }
+        if (number == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
+            peer->is_established = true;
+            continue;
+        }
+        /* Answers that the peer sent before it closed. */
+        receive_all(endpoint, endpoint->outbound, false);
+        wire_peer_disconnected(endpoint, peer, endpoint->now_ms);
+    }
+}
+
 /* Opens the inbound socket again.  The closed socket may still occupy the
  * address for a moment, so a failed bind is repeated on each tick. */
 static void
@@ -511,7 +514,7 @@
         {endpoint->inbound, 0, ZMQ_POLLIN, 0},
         {endpoint->outbound, 0, ZMQ_POLLIN, 0},
         {endpoint->zap, 0, ZMQ_POLLIN, 0},
-        {endpoint->monitor, 0, ZMQ_POLLIN, 0},
+        {endpoint->inbound_monitor, 0, ZMQ_POLLIN, 0},
         {endpoint->outbound_monitor, 0, ZMQ_POLLIN, 0},
         {NULL, wake_fd, ZMQ_POLLIN, 0},
     };
@@ -528,7 +531,7 @@
 wire_endpoint_fds(const struct wire_endpoint *endpoint, int fds[WIRE_FDS])
 {
     void *sockets[WIRE_FDS] = {endpoint->inbound, endpoint->outbound,
-                               endpoint->zap, endpoint->monitor,
+                               endpoint->zap, endpoint->inbound_monitor,
                                endpoint->outbound_monitor};
 
     for (int i = 0; i < WIRE_FDS; i++) {
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -117,8 +117,8 @@
     void *inbound;
     void *outbound;
     void *zap;               /* socket of the ZAP (authentication) handler */
-    void *monitor;           /* reports failed handshakes on inbound */
-    void *outbound_monitor;  /* reports connections of outbound */
+    void *inbound_monitor;   /* reports failed handshakes */
+    void *outbound_monitor;  /* reports connections opened and closed */
     struct wire_keys *keys;  /* NULL: no CURVE */
     GHashTable *peers;       /* struct wire_peer by address */
     GHashTable *by_route;    /* struct wire_peer by routing id */
