Keep old answers from clearing parts that have crashed servers since

Cause: a record carries the age of the last answer, and a node took the later of two times. Each transfer adds its duration, so the answer of a request before the crashes grew later with each exchange, until it was later than the crashes.

Change: a clear has a count and the node that had it; a node takes the time of a clear only when it first hears of it.

Failed before: Quarantine.OldAnswerNeverClearsLaterCrashes (not blocked after 124 exchanges). Quarantine.ClearsAtTheSameTimeAgree covers the new order.

--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -144,8 +144,9 @@
 {
     control__prompt_part__init(out);
     out->part = record->part;
-    out->is_answered = record->answer_age_ms >= 0;
-    out->answer_age_ms = MAX(record->answer_age_ms, 0);
+    out->n_clears = record->n_clears;
+    out->clearer = record->clearer;
+    out->clear_age_ms = record->clear_age_ms;
     out->crashes = pointers;
     for (int i = 0; i < record->n_crashes; i++) {
         control__prompt_crash__init(&crashes[i]);
@@ -250,10 +251,12 @@
     if (in->n_crashes > QUARANTINE_MAX_CRASHES) {
         return false;
     }
-    *out = (struct quarantine_record){
-        .part = in->part,
-        .n_crashes = (int)in->n_crashes,
-        .answer_age_ms = in->is_answered ? MAX(in->answer_age_ms, 0) : -1};
+    *out =
+        (struct quarantine_record){.part = in->part,
+                                   .n_crashes = (int)in->n_crashes,
+                                   .n_clears = in->n_clears,
+                                   .clearer = in->clearer,
+                                   .clear_age_ms = MAX(in->clear_age_ms, 0)};
     for (size_t i = 0; i < in->n_crashes; i++) {
         out->crashes[i].server = in->crashes[i]->server;
         out->crashes[i].age_ms = MAX(in->crashes[i]->age_ms, 0);
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -26,8 +26,9 @@
     uint64_t part;
     struct crash crashes[QUARANTINE_MAX_CRASHES]; /* by time */
     int n_crashes;
-    int64_t answered_ms; /* time of the last answer */
-    bool is_answered;
+    uint32_t n_clears;  /* times that an answer cleared the part, anywhere */
+    uint64_t clearer;   /* the node of the last of them */
+    int64_t cleared_ms; /* its time, as this node heard of it */
     int64_t changed_ms;
     int64_t tried_ms; /* last time this node admitted a try; 0: never */
     int rounds;       /* remaining rounds that take the entry */
@@ -101,7 +102,7 @@
 
     for (int i = 0; i < entry->n_crashes; i++) {
         int64_t at_ms = entry->crashes[i].at_ms;
-        if ((entry->is_answered && at_ms <= entry->answered_ms) ||
+        if ((entry->n_clears > 0 && at_ms <= entry->cleared_ms) ||
             at_ms < judgement.blocked_until_ms ||
             (judgement.n_crashes > 0 && at_ms - last_ms < desc->spacing_ms)) {
             continue;
@@ -330,8 +331,9 @@
         if (entry == NULL || judge(quarantine, entry).n_crashes == 0) {
             continue;
         }
-        entry->answered_ms = now_ms;
-        entry->is_answered = true;
+        entry->cleared_ms = now_ms;
+        entry->n_clears++;
+        entry->clearer = quarantine->desc.node;
         note_change(entry, now_ms);
         is_cleared = true;
     }
@@ -363,7 +365,9 @@
     struct quarantine_record record = {
         .part = entry->part,
         .n_crashes = entry->n_crashes,
-        .answer_age_ms = entry->is_answered ? now_ms - entry->answered_ms : -1,
+        .n_clears = entry->n_clears,
+        .clearer = entry->clearer,
+        .clear_age_ms = entry->n_clears > 0 ? now_ms - entry->cleared_ms : 0,
     };
 
     for (int i = 0; i < entry->n_crashes; i++) {
@@ -401,6 +405,17 @@
     return records;
 }
 
+/* Of two nodes that cleared a part at the same time, the clear of the one with
+ * the higher number counts on all nodes. */
+static bool
+is_later_clear(const struct quarantine_record *record,
+               const struct entry *entry)
+{
+    return record->n_clears != entry->n_clears
+               ? record->n_clears > entry->n_clears
+               : record->clearer > entry->clearer;
+}
+
 /* Adds a peer's record, which is taken for other peers in turn.  Returns
  * whether it was new. */
 bool
@@ -414,16 +429,13 @@
         is_new |= add_crash(entry, record->crashes[i].server,
                             now_ms - MAX(record->crashes[i].age_ms, 0));
     }
-    if (record->answer_age_ms >= 0) {
-        int n_counted = judge(quarantine, entry).n_crashes;
-        int64_t answered_ms = now_ms - record->answer_age_ms;
-        /* The transfer makes an answer seem later by its duration, so only one
-         * that clears crashes is passed on. */
-        entry->answered_ms = entry->is_answered
-                                 ? MAX(entry->answered_ms, answered_ms)
-                                 : answered_ms;
-        entry->is_answered = true;
-        is_new |= judge(quarantine, entry).n_crashes < n_counted;
+    /* Each transfer makes a clear seem later by its duration, so its time is
+     * taken only once. */
+    if (is_later_clear(record, entry)) {
+        entry->n_clears = record->n_clears;
+        entry->clearer = record->clearer;
+        entry->cleared_ms = now_ms - MAX(record->clear_age_ms, 0);
+        is_new = true;
     }
     if (is_new) {
         note_change(entry, now_ms);
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -50,7 +50,7 @@
     int64_t spacing_ms; /* crashes closer together count once; 200 */
     int64_t block_ms;   /* time from the crash to the first try; 10,000 */
     int64_t retry_ms;   /* time from one try of this node to the next; 2,000 */
-    uint64_t node;      /* number of this node: nodes try at different times */
+    uint64_t node;      /* number of this node, different for each */
     int max_records;    /* then those with the fewest crashes go; 512 */
 };
 
@@ -63,7 +63,9 @@
         uint64_t server; /* hash of the server's name */
         int64_t age_ms;
     } crashes[QUARANTINE_MAX_CRASHES];
-    int64_t answer_age_ms; /* age of the last answer; -1: none */
+    uint32_t n_clears;    /* times that an answer cleared the part */
+    uint64_t clearer;     /* number of the node that had the last of them */
+    int64_t clear_age_ms; /* its age; 0: none */
 };
 
 struct quarantine {
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -62,13 +62,15 @@
     }
     /* Sends the changed records, or all, to another node. */
     void
-    send_to(Node &other, int64_t now_ms, bool is_all = false)
+    send_to(Node &other, int64_t now_ms, bool is_all = false,
+            int64_t transfer_ms = 0)
     {
         GArray *records = quarantine_take(&quarantine, is_all, now_ms);
         for (guint i = 0; records != nullptr && i < records->len; i++) {
             quarantine_merge(
                 &other.quarantine,
-                &g_array_index(records, struct quarantine_record, i), now_ms);
+                &g_array_index(records, struct quarantine_record, i),
+                now_ms + transfer_ms);
         }
         if (records != nullptr) {
             g_array_free(records, TRUE);
@@ -170,6 +172,54 @@
     EXPECT_NE(quarantine_digest(&a.quarantine, 1000), 0U);
 }
 
+/* An answer from before the crashes must not clear the part because nodes tell
+ * each other of it again and again, each time with the age at sending. */
+TEST(Quarantine, OldAnswerNeverClearsLaterCrashes)
+{
+    enum { TRANSFER_MS = 20, N_EXCHANGES = 400 };
+    Node a;
+    Node b;
+    int64_t now_ms = 20000;
+
+    a.crash({CULPRIT}, 1, 1000);
+    a.answer({CULPRIT}, 5000);
+    a.send_to(b, 5000, true, TRANSFER_MS);
+    b.crash({CULPRIT}, 2, 10000);
+    b.crash({CULPRIT}, 3, 11000);
+    b.crash({CULPRIT}, 4, 12000);
+    for (int i = 0; i < N_EXCHANGES; i++) {
+        b.send_to(a, now_ms, true, TRANSFER_MS);
+        a.send_to(b, now_ms + TRANSFER_MS, true, TRANSFER_MS);
+        now_ms += 2 * TRANSFER_MS;
+        ASSERT_TRUE(a.blocks({CULPRIT}, 20000)) << i;
+        ASSERT_TRUE(b.blocks({CULPRIT}, 20000)) << i;
+    }
+}
+
+/* Nodes that cleared a part at the same time must come to the same result. */
+TEST(Quarantine, ClearsAtTheSameTimeAgree)
+{
+    Node a(0, 1);
+    Node b(0, 2);
+
+    for (Node *node : {&a, &b}) {
+        node->crash({CULPRIT}, 1, 1000);
+    }
+    a.answer({CULPRIT}, 2000);
+    b.crash({CULPRIT}, 2, 3000);
+    b.answer({CULPRIT}, 4000);
+    b.crash({CULPRIT}, 3, 5000);
+    b.crash({CULPRIT}, 4, 6000);
+    a.send_to(b, 6000, true);
+    b.send_to(a, 6000, true);
+    EXPECT_FALSE(a.blocks({CULPRIT}, 6000));
+    EXPECT_FALSE(b.blocks({CULPRIT}, 6000));
+    a.crash({CULPRIT}, 5, 7000);
+    a.send_to(b, 7000);
+    EXPECT_TRUE(a.blocks({CULPRIT}, 7000));
+    EXPECT_TRUE(b.blocks({CULPRIT}, 7000));
+}
+
 TEST(Quarantine, StartingNodeTakesAllRecords)
 {
     Node old, fresh;
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -3295,7 +3295,7 @@
   (ProtobufCMessageInit) control__prompt_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__prompt_part__field_descriptors[4] =
+static const ProtobufCFieldDescriptor control__prompt_part__field_descriptors[5] =
 {
   {
     "part",
@@ -3322,24 +3322,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_answered",
+    "n_clears",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Control__PromptPart, is_answered),
+    offsetof(Control__PromptPart, n_clears),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer_age_ms",
+    "clear_age_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Control__PromptPart, answer_age_ms),
+    offsetof(Control__PromptPart, clear_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clearer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptPart, clearer),
     NULL,
     NULL,
     0,             /* flags */
@@ -3347,15 +3359,16 @@
   },
 };
 static const unsigned control__prompt_part__field_indices_by_name[] = {
-  3,   /* field[3] = answer_age_ms */
+  3,   /* field[3] = clear_age_ms */
+  4,   /* field[4] = clearer */
   1,   /* field[1] = crashes */
-  2,   /* field[2] = is_answered */
+  2,   /* field[2] = n_clears */
   0,   /* field[0] = part */
 };
 static const ProtobufCIntRange control__prompt_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor control__prompt_part__descriptor =
 {
@@ -3365,7 +3378,7 @@
   "Control__PromptPart",
   "control",
   sizeof(Control__PromptPart),
-  4,
+  5,
   control__prompt_part__field_descriptors,
   control__prompt_part__field_indices_by_name,
   1,  control__prompt_part__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -510,12 +510,19 @@
   uint64_t part;
   size_t n_crashes;
   Control__PromptCrash **crashes;
-  protobuf_c_boolean is_answered;
-  int64_t answer_age_ms;
+  /*
+   * times that an answer cleared the part 
+   */
+  uint32_t n_clears;
+  int64_t clear_age_ms;
+  /*
+   * hash of the name of the node that had the last 
+   */
+  uint64_t clearer;
 };
 #define CONTROL__PROMPT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__prompt_part__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
 
 
 /*
