Spread the tries of blocked parts over more time in large fleets

When the block of a part ended, several nodes of a large fleet sent a request with it to servers before they could hear that the first one had crashed its server: all nodes tried within the same 2.5 s, whether ten or three hundred.

Change: on average one more node may try in each 500 ms, by the number of members. A mended part is cleared by the first try as before.

Quarantine.FewNodesTryBeforeTheyHearOfTheNextCrash failed before: 211 tries in 20 plays of 84 nodes, 729 with 300, 60 allowed.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -116,6 +116,7 @@
     report_lost_holders(control, old);
     members_view_unref(old);
     choose_watchers(control);
+    control_prompt_parts_set_nodes(control);
     control->is_changed = true;
 }
 
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -476,6 +476,7 @@
 void control_site_changed(struct control *control, struct world_site *site);
 
 /* prompt_parts.c */
+void control_prompt_parts_set_nodes(struct control *control);
 void control_prompt_parts_init(struct control *control);
 void control_prompt_parts_finish(struct control *control);
 void control_prompt_parts_tick(struct control *control);
--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -137,6 +137,17 @@
 
 /* ---- between nodes ---- */
 
+/* Takes the number of nodes from the membership view. */
+void
+control_prompt_parts_set_nodes(struct control *control)
+{
+    struct control_prompt_parts *prompt_parts = &control->prompt_parts;
+
+    g_mutex_lock(&prompt_parts->lock);
+    quarantine_set_nodes(&prompt_parts->quarantine, control->view->n_nodes);
+    g_mutex_unlock(&prompt_parts->lock);
+}
+
 static void
 fill_part(Control__PromptPart *out, Control__PromptCrash *crashes,
           Control__PromptCrash **pointers,
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -9,6 +9,9 @@
     DEFAULT_BLOCK_MS = 10000,
     MAX_DOUBLINGS = 5, /* of the time for which a part is blocked */
     DEFAULT_RETRY_MS = 2000,
+    /* Time in which all nodes hear of a crash: that of a request, and four
+     * rounds of reports. */
+    NEWS_MS = 500,
     FORGET_MS = 120000, /* after the last change of a part not blocked */
     DEFAULT_MAX_RECORDS = 512,
     /* Reports of one server within this time are of one crash: a server needs
@@ -34,6 +37,13 @@
     int rounds;       /* remaining rounds that take the entry */
 };
 
+/* Sets the number of nodes that exchange records; 0: this one only. */
+void
+quarantine_set_nodes(struct quarantine *quarantine, int n_nodes)
+{
+    quarantine->desc.n_nodes = MAX(n_nodes, 1);
+}
+
 /* Initializes an empty quarantine. */
 void
 quarantine_init(struct quarantine *quarantine,
@@ -55,6 +65,7 @@
     if (desc->max_records == 0) {
         quarantine->desc.max_records = DEFAULT_MAX_RECORDS;
     }
+    quarantine_set_nodes(quarantine, desc->n_nodes);
     quarantine->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
@@ -137,9 +148,9 @@
     return blocked_ms;
 }
 
-/* Returns the time from which this node tries a part again.  Nodes wait up to
- * a quarter of block_ms longer than needed, so that most hear what became of
- * the first try. */
+/* Returns the time from which this node tries a part again.  On average, one
+ * more node may try in each NEWS_MS, so that most hear what became of the
+ * first try. */
 static int64_t
 next_try_ms(const struct quarantine *quarantine, const struct entry *entry,
             int64_t blocked_until_ms)
@@ -147,7 +158,7 @@
     const struct quarantine_desc *desc = &quarantine->desc;
     uint64_t delay_ms =
         base_hash(&entry->part, sizeof(entry->part), desc->node) %
-        (uint64_t)MAX(desc->block_ms / 4, 1);
+        ((uint64_t)desc->n_nodes * NEWS_MS);
     int64_t at_ms = blocked_until_ms + (int64_t)delay_ms;
 
     return entry->tried_ms == 0 ? at_ms
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -51,6 +51,7 @@
     int64_t block_ms;   /* time from the crash to the first try; 10,000 */
     int64_t retry_ms;   /* time from one try of this node to the next; 2,000 */
     uint64_t node;      /* number of this node, different for each */
+    int n_nodes;        /* see quarantine_set_nodes; 1 */
     int max_records;    /* then those with the fewest crashes go; 512 */
 };
 
@@ -76,6 +77,7 @@
 void quarantine_init(struct quarantine *quarantine,
                      const struct quarantine_desc *desc);
 void quarantine_finish(struct quarantine *quarantine);
+void quarantine_set_nodes(struct quarantine *quarantine, int n_nodes);
 
 int64_t quarantine_admit(struct quarantine *quarantine,
                          const struct quarantine_parts *parts, int64_t now_ms);
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -253,6 +253,40 @@
     EXPECT_EQ(quarantine_admit(&node.quarantine, &parts, 15701), 0);
 }
 
+/* In a large fleet, few nodes may try a part before all hear that it crashed a
+ * server again.  Each node has a request ready at all times. */
+TEST(Quarantine, FewNodesTryBeforeTheyHearOfTheNextCrash)
+{
+    enum { HEARD_MS = 300, STEP_MS = 5, N_PARTS = 20 };
+
+    for (int n_nodes : {1, 10, 84, 300}) {
+        int n_tries = 0;
+        for (uint64_t part = 1; part <= N_PARTS; part++) {
+            std::vector<std::unique_ptr<Node>> nodes;
+            for (int i = 0; i < n_nodes; i++) {
+                uint64_t number = base_hash(&i, sizeof(i), 0);
+                nodes.push_back(std::make_unique<Node>(0, number));
+                quarantine_set_nodes(&nodes.back()->quarantine, n_nodes);
+                for (int crash = 0; crash < 3; crash++) {
+                    nodes.back()->crash({part}, (uint64_t)crash, crash * 500);
+                }
+            }
+            int64_t first_ms = 0;
+            for (int64_t now_ms = 11000;
+                 first_ms == 0 || now_ms < first_ms + HEARD_MS;
+                 now_ms += STEP_MS) {
+                for (auto &node : nodes) {
+                    if (!node->refuses({part}, now_ms)) {
+                        first_ms = first_ms == 0 ? now_ms : first_ms;
+                        n_tries++;
+                    }
+                }
+            }
+        }
+        EXPECT_LE(n_tries, 3 * N_PARTS) << n_nodes;
+    }
+}
+
 TEST(Quarantine, RecordsEndUnlessTheyAreRepeatedForever)
 {
     Node a, b;
