Know crashes of servers by an id, not by the time that nodes give them

Cause: two reports of a server within a second were one crash, others two. Reports that waited at a node that was cut off came seconds late, so that a known crash became a new one, with a later time, for all nodes; and the messages of that made more of them late.

Change: a crash has an id, of the node that noted it; of several for one crash the lowest stays on all nodes.

Quarantine.LateReportsAreNotNewCrashes failed before: one crash counted as three.

--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -161,6 +161,7 @@
     out->crashes = pointers;
     for (int i = 0; i < record->n_crashes; i++) {
         control__prompt_crash__init(&crashes[i]);
+        crashes[i].id = record->crashes[i].id;
         crashes[i].server = record->crashes[i].server;
         crashes[i].age_ms = record->crashes[i].age_ms;
         pointers[i] = &crashes[i];
@@ -269,6 +270,7 @@
                                    .clearer = in->clearer,
                                    .clear_age_ms = MAX(in->clear_age_ms, 0)};
     for (size_t i = 0; i < in->n_crashes; i++) {
+        out->crashes[i].id = in->crashes[i]->id;
         out->crashes[i].server = in->crashes[i]->server;
         out->crashes[i].age_ms = MAX(in->crashes[i]->age_ms, 0);
     }
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -21,8 +21,9 @@
 };
 
 struct crash {
+    uint64_t id; /* the lowest of those that the nodes gave it */
     uint64_t server;
-    int64_t at_ms;
+    int64_t at_ms; /* as this node heard of it */
 };
 
 struct entry {
@@ -260,11 +261,24 @@
     return entry;
 }
 
-static bool
-is_same_crash(const struct crash *crash, uint64_t server, int64_t at_ms)
+/* Finds a crash by its id, or else by its server and time, since several nodes
+ * may have noted it. */
+static struct crash *
+find_crash(struct entry *entry, const struct crash *wanted)
 {
-    return crash->server == server &&
-           ABS(crash->at_ms - at_ms) < SAME_CRASH_MS;
+    for (int i = 0; i < entry->n_crashes; i++) {
+        if (entry->crashes[i].id == wanted->id) {
+            return &entry->crashes[i];
+        }
+    }
+    for (int i = 0; i < entry->n_crashes; i++) {
+        struct crash *crash = &entry->crashes[i];
+        if (crash->server == wanted->server &&
+            ABS(crash->at_ms - wanted->at_ms) < SAME_CRASH_MS) {
+            return crash;
+        }
+    }
+    return NULL;
 }
 
 static void
@@ -281,28 +295,31 @@
     }
 }
 
-/* Adds a crash; of several reports of one crash the earliest time stays.
- * Returns false if it was known, or older than all of a full record. */
+/* Adds a crash; of several reports of one crash the earliest time and the
+ * lowest id stay.  Reports that come late are known by the id, for any time
+ * between nodes grows with each transfer.  Returns false if there is nothing
+ * new, or if the crash is older than all of a full record. */
 static bool
-add_crash(struct entry *entry, uint64_t server, int64_t at_ms)
+add_crash(struct entry *entry, struct crash added)
 {
-    for (int i = 0; i < entry->n_crashes; i++) {
-        struct crash *crash = &entry->crashes[i];
-        if (is_same_crash(crash, server, at_ms)) {
-            crash->at_ms = MIN(crash->at_ms, at_ms);
-            sort_crashes(entry);
-            return false;
-        }
+    struct crash *known = find_crash(entry, &added);
+
+    if (known != NULL) {
+        bool is_new = added.id < known->id;
+        known->id = MIN(known->id, added.id);
+        known->at_ms = MIN(known->at_ms, added.at_ms);
+        sort_crashes(entry);
+        return is_new;
     }
     if (entry->n_crashes == QUARANTINE_MAX_CRASHES) {
-        if (at_ms <= entry->crashes[0].at_ms) {
+        if (added.at_ms <= entry->crashes[0].at_ms) {
             return false;
         }
         entry->n_crashes--;
         memmove(entry->crashes, entry->crashes + 1,
                 (size_t)entry->n_crashes * sizeof(entry->crashes[0]));
     }
-    entry->crashes[entry->n_crashes++] = (struct crash){server, at_ms};
+    entry->crashes[entry->n_crashes++] = added;
     sort_crashes(entry);
     return true;
 }
@@ -321,9 +338,14 @@
                       const struct quarantine_parts *parts, uint64_t server,
                       int64_t now_ms)
 {
+    const uint64_t origin[] = {quarantine->desc.node, server,
+                               (uint64_t)now_ms};
+    struct crash crash = {base_hash(origin, sizeof(origin), 0), server,
+                          now_ms};
+
     for (int i = 0; i < parts->n_parts; i++) {
         struct entry *entry = find_or_add(quarantine, parts->parts[i]);
-        if (add_crash(entry, server, now_ms)) {
+        if (add_crash(entry, crash)) {
             note_change(entry, now_ms);
         }
     }
@@ -382,6 +404,7 @@
     };
 
     for (int i = 0; i < entry->n_crashes; i++) {
+        record.crashes[i].id = entry->crashes[i].id;
         record.crashes[i].server = entry->crashes[i].server;
         record.crashes[i].age_ms = now_ms - entry->crashes[i].at_ms;
     }
@@ -437,8 +460,10 @@
     bool is_new = false;
 
     for (int i = 0; i < record->n_crashes; i++) {
-        is_new |= add_crash(entry, record->crashes[i].server,
-                            now_ms - MAX(record->crashes[i].age_ms, 0));
+        const struct quarantine_crash *crash = &record->crashes[i];
+        is_new |=
+            add_crash(entry, (struct crash){crash->id, crash->server,
+                                            now_ms - MAX(crash->age_ms, 0)});
     }
     /* Each transfer makes a clear seem later by its duration, so its time is
      * taken only once. */
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -61,6 +61,7 @@
     uint64_t part;
     int n_crashes;
     struct quarantine_crash {
+        uint64_t id;
         uint64_t server; /* hash of the server's name */
         int64_t age_ms;
     } crashes[QUARANTINE_MAX_CRASHES];
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -196,6 +196,34 @@
     }
 }
 
+/* Reports of one crash that come late, from a node that was cut off or slow,
+ * must not count as further crashes, nor be passed on as news for ever. */
+TEST(Quarantine, LateReportsAreNotNewCrashes)
+{
+    Node a(0, 1);
+    Node b(0, 2);
+    Node c(0, 3);
+
+    a.crash({CULPRIT}, 1, 1000);
+    b.crash({CULPRIT}, 1, 1040);
+    a.send_to(b, 1050, true);
+    b.send_to(a, 1060, true);
+    for (int64_t transfer_ms : {0, 3000, 6000, 9000}) {
+        a.send_to(c, 1100, true, transfer_ms);
+        b.send_to(c, 1100, true, transfer_ms);
+        c.send_to(a, 1100 + transfer_ms, true, 2000);
+        c.send_to(b, 1100 + transfer_ms, true, 2000);
+    }
+    for (Node *node : {&a, &b, &c}) {
+        struct quarantine_parts parts = parts_of({CULPRIT});
+        EXPECT_EQ(quarantine_suspicion(&node->quarantine, &parts), 1);
+        for (int round = 0; round < 20; round++) {
+            node->send_to(*node, 30000);
+        }
+        EXPECT_EQ(quarantine_take(&node->quarantine, false, 30000), nullptr);
+    }
+}
+
 /* Nodes that cleared a part at the same time must come to the same result. */
 TEST(Quarantine, ClearsAtTheSameTimeAgree)
 {
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -3244,7 +3244,7 @@
   (ProtobufCMessageInit) control__rate_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__prompt_crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor control__prompt_crash__field_descriptors[3] =
 {
   {
     "server",
@@ -3270,15 +3270,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__PromptCrash, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__prompt_crash__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = id */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange control__prompt_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor control__prompt_crash__descriptor =
 {
@@ -3288,7 +3301,7 @@
   "Control__PromptCrash",
   "control",
   sizeof(Control__PromptCrash),
-  2,
+  3,
   control__prompt_crash__field_descriptors,
   control__prompt_crash__field_indices_by_name,
   1,  control__prompt_crash__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -495,10 +495,14 @@
   ProtobufCMessage base;
   uint64_t server;
   int64_t age_ms;
+  /*
+   * the lowest of those that the nodes gave the crash 
+   */
+  uint64_t id;
 };
 #define CONTROL__PROMPT_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__prompt_crash__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
