Exchange one state a part that only grows instead of lists of crashes

Cause: lists of the eight newest crashes do not converge once there are more. A crash that was dropped here came back from a peer with a time a little later, took the place of another one, and was passed on.

Change: what nodes exchange of a part is one state: how often an answer cleared it, the number of crashes since, and the id of the last one. The later state replaces the earlier one, and its time is taken once, so there is nothing that can come back. Crashes that two nodes note at the same time count once, as did crashes within 200 ms; the test CrashesSeenByDifferentNodesAddUp now delivers each report before the next crash, 400 ms later, as the nodes do in 0.2 s. prompt.cleared is logged.

--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -127,12 +127,18 @@
 {
     struct control_prompt_parts *prompt_parts = &control->prompt_parts;
 
-    if (parts->n_parts == 0) {
-        return;
+    for (int i = 0; i < parts->n_parts; i++) {
+        struct quarantine_parts part = {1, {parts->parts[i]}};
+        bool is_cleared;
+        g_mutex_lock(&prompt_parts->lock);
+        is_cleared = quarantine_note_answer(&prompt_parts->quarantine, &part,
+                                            base_clock_ms());
+        g_mutex_unlock(&prompt_parts->lock);
+        if (is_cleared) {
+            base_log(BASE_LOG_INFO, "prompt.cleared",
+                     "part=%016" G_GINT64_MODIFIER "x", parts->parts[i]);
+        }
     }
-    g_mutex_lock(&prompt_parts->lock);
-    quarantine_note_answer(&prompt_parts->quarantine, parts, base_clock_ms());
-    g_mutex_unlock(&prompt_parts->lock);
 }
 
 /* ---- between nodes ---- */
@@ -149,24 +155,15 @@
 }
 
 static void
-fill_part(Control__PromptPart *out, Control__PromptCrash *crashes,
-          Control__PromptCrash **pointers,
-          const struct quarantine_record *record)
+fill_part(Control__PromptPart *out, const struct quarantine_record *record)
 {
     control__prompt_part__init(out);
     out->part = record->part;
-    out->n_clears = record->n_clears;
-    out->clearer = record->clearer;
-    out->clear_age_ms = record->clear_age_ms;
-    out->crashes = pointers;
-    for (int i = 0; i < record->n_crashes; i++) {
-        control__prompt_crash__init(&crashes[i]);
-        crashes[i].id = record->crashes[i].id;
-        crashes[i].server = record->crashes[i].server;
-        crashes[i].age_ms = record->crashes[i].age_ms;
-        pointers[i] = &crashes[i];
-    }
-    out->n_crashes = (size_t)record->n_crashes;
+    out->n_clears = record->state.n_clears;
+    out->n_crashes = record->state.n_crashes;
+    out->crash = record->state.crash;
+    out->server = record->state.server;
+    out->crash_age_ms = record->crash_age_ms;
 }
 
 /* Packs records of type struct quarantine_record. */
@@ -174,27 +171,20 @@
 pack_records(const GArray *records)
 {
     Control__PromptParts message = CONTROL__PROMPT_PARTS__INIT;
-    size_t n_crashes = (size_t)records->len * QUARANTINE_MAX_CRASHES;
     Control__PromptPart *parts = g_new(Control__PromptPart, records->len);
-    Control__PromptPart **part_pointers =
+    Control__PromptPart **pointers =
         g_new(Control__PromptPart *, records->len);
-    Control__PromptCrash *crashes = g_new(Control__PromptCrash, n_crashes);
-    Control__PromptCrash **crash_pointers =
-        g_new(Control__PromptCrash *, n_crashes);
     struct control_bytes bytes;
 
     for (guint i = 0; i < records->len; i++) {
-        size_t first = (size_t)i * QUARANTINE_MAX_CRASHES;
-        fill_part(&parts[i], crashes + first, crash_pointers + first,
+        fill_part(&parts[i],
                   &g_array_index(records, struct quarantine_record, i));
-        part_pointers[i] = &parts[i];
+        pointers[i] = &parts[i];
     }
-    message.parts = part_pointers;
+    message.parts = pointers;
     message.n_parts = records->len;
     bytes = control_pack(&message.base);
-    g_free(crash_pointers);
-    g_free(crashes);
-    g_free(part_pointers);
+    g_free(pointers);
     g_free(parts);
     return bytes;
 }
@@ -257,24 +247,16 @@
     g_array_free(records, TRUE);
 }
 
-static bool
-read_part(const Control__PromptPart *in, struct quarantine_record *out)
+static struct quarantine_record
+read_part(const Control__PromptPart *in)
 {
-    if (in->n_crashes > QUARANTINE_MAX_CRASHES) {
-        return false;
-    }
-    *out =
-        (struct quarantine_record){.part = in->part,
-                                   .n_crashes = (int)in->n_crashes,
-                                   .n_clears = in->n_clears,
-                                   .clearer = in->clearer,
-                                   .clear_age_ms = MAX(in->clear_age_ms, 0)};
-    for (size_t i = 0; i < in->n_crashes; i++) {
-        out->crashes[i].id = in->crashes[i]->id;
-        out->crashes[i].server = in->crashes[i]->server;
-        out->crashes[i].age_ms = MAX(in->crashes[i]->age_ms, 0);
-    }
-    return true;
+    struct quarantine_record record = {
+        .part = in->part,
+        .state = {in->n_clears, in->n_crashes, in->crash, in->server},
+        .crash_age_ms = in->crash_age_ms,
+    };
+
+    return record;
 }
 
 static void
@@ -307,17 +289,16 @@
 {
     Control__PromptParts *parts =
         control__prompt_parts__unpack(NULL, message->size, message->body);
-    bool is_ok = parts != NULL;
 
-    for (size_t i = 0; is_ok && i < parts->n_parts; i++) {
-        struct quarantine_record record;
-        is_ok = read_part(parts->parts[i], &record);
-        if (is_ok) {
-            merge_part(control, &record, message->sender);
-        }
+    if (parts == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < parts->n_parts; i++) {
+        struct quarantine_record record = read_part(parts->parts[i]);
+        merge_part(control, &record, message->sender);
     }
     control__prompt_parts__free_unpacked(parts, NULL);
-    return is_ok;
+    return true;
 }
 
 /* Returns a hash of the blocked parts. */
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -20,19 +20,10 @@
     ROUNDS = 4, /* rounds in which a change is taken for the peers */
 };
 
-struct crash {
-    uint64_t id; /* the lowest of those that the nodes gave it */
-    uint64_t server;
-    int64_t at_ms; /* as this node heard of it */
-};
-
 struct entry {
     uint64_t part;
-    struct crash crashes[QUARANTINE_MAX_CRASHES]; /* by time */
-    int n_crashes;
-    uint32_t n_clears;  /* times that an answer cleared the part, anywhere */
-    uint64_t clearer;   /* the node of the last of them */
-    int64_t cleared_ms; /* its time, as this node heard of it */
+    struct quarantine_state state; /* see quarantine.h */
+    int64_t crashed_ms; /* time of the last crash, as this node heard of it */
     int64_t changed_ms;
     int64_t tried_ms; /* last time this node admitted a try; 0: never */
     int rounds;       /* remaining rounds that take the entry */
@@ -96,38 +87,36 @@
     return g_hash_table_lookup(quarantine->entries, &part);
 }
 
-/* The crashes of a part since its last answer. */
-struct judgement {
-    int n_crashes;            /* that count */
-    int64_t blocked_until_ms; /* 0: never blocked */
-};
-
-/* Crashes while the part is blocked are of requests sent before; one after
- * that doubles the time. */
-static struct judgement
-judge(const struct quarantine *quarantine, const struct entry *entry)
+/* Returns the time until which a part is blocked; 0: it has never been since
+ * its last answer.  Each crash after a block doubles the time. */
+static int64_t
+blocked_until_ms(const struct quarantine *quarantine,
+                 const struct entry *entry)
 {
     const struct quarantine_desc *desc = &quarantine->desc;
-    struct judgement judgement = {0, 0};
-    int64_t last_ms = 0;
-    int n_doublings = 0;
-
-    for (int i = 0; i < entry->n_crashes; i++) {
-        int64_t at_ms = entry->crashes[i].at_ms;
-        if ((entry->n_clears > 0 && at_ms <= entry->cleared_ms) ||
-            at_ms < judgement.blocked_until_ms ||
-            (judgement.n_crashes > 0 && at_ms - last_ms < desc->spacing_ms)) {
-            continue;
-        }
-        judgement.n_crashes++;
-        last_ms = at_ms;
-        if (judgement.n_crashes >= desc->max_crashes) {
-            judgement.blocked_until_ms =
-                at_ms + (desc->block_ms << MIN(n_doublings, MAX_DOUBLINGS));
-            n_doublings++;
-        }
+    int n_doublings = (int)entry->state.n_crashes - desc->max_crashes;
+
+    return n_doublings < 0
+               ? 0
+               : entry->crashed_ms +
+                     (desc->block_ms << MIN(n_doublings, MAX_DOUBLINGS));
+}
+
+/* Whether a crash is a further one.  A crash breaks many connections, and
+ * while a part is blocked, requests that were sent before crash servers. */
+static bool
+is_further_crash(const struct quarantine *quarantine,
+                 const struct entry *entry, uint64_t server, int64_t now_ms)
+{
+    int64_t since_ms = now_ms - entry->crashed_ms;
+
+    if (entry->state.n_crashes == 0) {
+        return true;
     }
-    return judgement;
+    return now_ms >= blocked_until_ms(quarantine, entry) &&
+           since_ms >= (server == entry->state.server
+                            ? SAME_CRASH_MS
+                            : quarantine->desc.spacing_ms);
 }
 
 /* Returns for how many ms more requests with one of these parts must not reach
@@ -142,8 +131,7 @@
         const struct entry *entry = find_entry(quarantine, parts->parts[i]);
         if (entry != NULL) {
             blocked_ms =
-                MAX(blocked_ms,
-                    judge(quarantine, entry).blocked_until_ms - now_ms);
+                MAX(blocked_ms, blocked_until_ms(quarantine, entry) - now_ms);
         }
     }
     return blocked_ms;
@@ -178,7 +166,7 @@
     for (int i = 0; i < parts->n_parts; i++) {
         const struct entry *entry = find_entry(quarantine, parts->parts[i]);
         int64_t until_ms =
-            entry == NULL ? 0 : judge(quarantine, entry).blocked_until_ms;
+            entry == NULL ? 0 : blocked_until_ms(quarantine, entry);
         if (until_ms != 0) {
             wait_ms = MAX(wait_ms,
                           next_try_ms(quarantine, entry, until_ms) - now_ms);
@@ -186,7 +174,7 @@
     }
     for (int i = 0; wait_ms == 0 && i < parts->n_parts; i++) {
         struct entry *entry = find_entry(quarantine, parts->parts[i]);
-        if (entry != NULL && judge(quarantine, entry).blocked_until_ms != 0) {
+        if (entry != NULL && blocked_until_ms(quarantine, entry) != 0) {
             entry->tried_ms = now_ms;
         }
     }
@@ -204,7 +192,7 @@
     for (int i = 0; i < parts->n_parts; i++) {
         const struct entry *entry = find_entry(quarantine, parts->parts[i]);
         if (entry != NULL) {
-            most = MAX(most, judge(quarantine, entry).n_crashes);
+            most = MAX(most, (int)entry->state.n_crashes);
         }
     }
     return most;
@@ -215,13 +203,11 @@
 /* Whether `a` is dropped before `b`: parts with fewer crashes first, then
  * those that changed least recently. */
 static bool
-is_dropped_before(const struct quarantine *quarantine, const struct entry *a,
-                  const struct entry *b)
+is_dropped_before(const struct entry *a, const struct entry *b)
 {
-    int n_a = judge(quarantine, a).n_crashes;
-    int n_b = judge(quarantine, b).n_crashes;
-
-    return n_a != n_b ? n_a < n_b : a->changed_ms < b->changed_ms;
+    return a->state.n_crashes != b->state.n_crashes
+               ? a->state.n_crashes < b->state.n_crashes
+               : a->changed_ms < b->changed_ms;
 }
 
 static void
@@ -234,7 +220,7 @@
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct entry *entry = value;
-        if (first == NULL || is_dropped_before(quarantine, entry, first)) {
+        if (first == NULL || is_dropped_before(entry, first)) {
             first = entry;
         }
     }
@@ -261,69 +247,6 @@
     return entry;
 }
 
-/* Finds a crash by its id, or else by its server and time, since several nodes
- * may have noted it. */
-static struct crash *
-find_crash(struct entry *entry, const struct crash *wanted)
-{
-    for (int i = 0; i < entry->n_crashes; i++) {
-        if (entry->crashes[i].id == wanted->id) {
-            return &entry->crashes[i];
-        }
-    }
-    for (int i = 0; i < entry->n_crashes; i++) {
-        struct crash *crash = &entry->crashes[i];
-        if (crash->server == wanted->server &&
-            ABS(crash->at_ms - wanted->at_ms) < SAME_CRASH_MS) {
-            return crash;
-        }
-    }
-    return NULL;
-}
-
-static void
-sort_crashes(struct entry *entry)
-{
-    for (int i = 1; i < entry->n_crashes; i++) {
-        struct crash moved = entry->crashes[i];
-        int to = i;
-        while (to > 0 && entry->crashes[to - 1].at_ms > moved.at_ms) {
-            entry->crashes[to] = entry->crashes[to - 1];
-            to--;
-        }
-        entry->crashes[to] = moved;
-    }
-}
-
-/* Adds a crash; of several reports of one crash the earliest time and the
- * lowest id stay.  Reports that come late are known by the id, for any time
- * between nodes grows with each transfer.  Returns false if there is nothing
- * new, or if the crash is older than all of a full record. */
-static bool
-add_crash(struct entry *entry, struct crash added)
-{
-    struct crash *known = find_crash(entry, &added);
-
-    if (known != NULL) {
-        bool is_new = added.id < known->id;
-        known->id = MIN(known->id, added.id);
-        known->at_ms = MIN(known->at_ms, added.at_ms);
-        sort_crashes(entry);
-        return is_new;
-    }
-    if (entry->n_crashes == QUARANTINE_MAX_CRASHES) {
-        if (added.at_ms <= entry->crashes[0].at_ms) {
-            return false;
-        }
-        entry->n_crashes--;
-        memmove(entry->crashes, entry->crashes + 1,
-                (size_t)entry->n_crashes * sizeof(entry->crashes[0]));
-    }
-    entry->crashes[entry->n_crashes++] = added;
-    sort_crashes(entry);
-    return true;
-}
-
 static void
 note_change(struct entry *entry, int64_t now_ms)
 {
@@ -340,14 +263,17 @@
 {
     const uint64_t origin[] = {quarantine->desc.node, server,
                                (uint64_t)now_ms};
-    struct crash crash = {base_hash(origin, sizeof(origin), 0), server,
-                          now_ms};
 
     for (int i = 0; i < parts->n_parts; i++) {
         struct entry *entry = find_or_add(quarantine, parts->parts[i]);
-        if (add_crash(entry, crash)) {
-            note_change(entry, now_ms);
+        if (!is_further_crash(quarantine, entry, server, now_ms)) {
+            continue;
         }
+        entry->state.n_crashes++;
+        entry->state.crash = base_hash(origin, sizeof(origin), 0);
+        entry->state.server = server;
+        entry->crashed_ms = now_ms;
+        note_change(entry, now_ms);
     }
 }
 
@@ -361,12 +287,11 @@
 
     for (int i = 0; i < parts->n_parts; i++) {
         struct entry *entry = find_entry(quarantine, parts->parts[i]);
-        if (entry == NULL || judge(quarantine, entry).n_crashes == 0) {
+        if (entry == NULL || entry->state.n_crashes == 0) {
             continue;
         }
-        entry->cleared_ms = now_ms;
-        entry->n_clears++;
-        entry->clearer = quarantine->desc.node;
+        entry->state =
+            (struct quarantine_state){.n_clears = entry->state.n_clears + 1};
         note_change(entry, now_ms);
         is_cleared = true;
     }
@@ -383,7 +308,7 @@
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct entry *entry = value;
-        int64_t until_ms = judge(quarantine, entry).blocked_until_ms;
+        int64_t until_ms = blocked_until_ms(quarantine, entry);
         if (now_ms - MAX(entry->changed_ms, until_ms) >= FORGET_MS) {
             g_hash_table_iter_remove(&iter);
         }
@@ -392,25 +317,6 @@
 
 /* ---- exchange between nodes ---- */
 
-static struct quarantine_record
-make_record(const struct entry *entry, int64_t now_ms)
-{
-    struct quarantine_record record = {
-        .part = entry->part,
-        .n_crashes = entry->n_crashes,
-        .n_clears = entry->n_clears,
-        .clearer = entry->clearer,
-        .clear_age_ms = entry->n_clears > 0 ? now_ms - entry->cleared_ms : 0,
-    };
-
-    for (int i = 0; i < entry->n_crashes; i++) {
-        record.crashes[i].id = entry->crashes[i].id;
-        record.crashes[i].server = entry->crashes[i].server;
-        record.crashes[i].age_ms = now_ms - entry->crashes[i].at_ms;
-    }
-    return record;
-}
-
 /* Returns the records of type struct quarantine_record that changed and were
  * not yet taken often enough, or all; NULL if there are none.  The caller
  * frees the array. */
@@ -429,7 +335,8 @@
             continue;
         }
         entry->rounds -= is_all ? 0 : 1;
-        record = make_record(entry, now_ms);
+        record = (struct quarantine_record){entry->part, entry->state,
+                                            now_ms - entry->crashed_ms};
         if (records == NULL) {
             records =
                 g_array_new(FALSE, FALSE, sizeof(struct quarantine_record));
@@ -439,44 +346,36 @@
     return records;
 }
 
-/* Of two nodes that cleared a part at the same time, the clear of the one with
- * the higher number counts on all nodes. */
+/* Orders states: an answer ends all crashes before it, and of two nodes that
+ * noted a crash at the same time, the one with the higher id counts. */
 static bool
-is_later_clear(const struct quarantine_record *record,
-               const struct entry *entry)
+is_later(const struct quarantine_state *a, const struct quarantine_state *b)
 {
-    return record->n_clears != entry->n_clears
-               ? record->n_clears > entry->n_clears
-               : record->clearer > entry->clearer;
+    if (a->n_clears != b->n_clears) {
+        return a->n_clears > b->n_clears;
+    }
+    if (a->n_crashes != b->n_crashes) {
+        return a->n_crashes > b->n_crashes;
+    }
+    return a->crash > b->crash;
 }
 
-/* Adds a peer's record, which is taken for other peers in turn.  Returns
- * whether it was new. */
+/* Takes a peer's record if its state is later, so that it is taken for other
+ * peers in turn.  Each transfer makes a crash seem later by its duration, so
+ * its time is taken once.  Returns whether the record was new. */
 bool
 quarantine_merge(struct quarantine *quarantine,
                  const struct quarantine_record *record, int64_t now_ms)
 {
     struct entry *entry = find_or_add(quarantine, record->part);
-    bool is_new = false;
 
-    for (int i = 0; i < record->n_crashes; i++) {
-        const struct quarantine_crash *crash = &record->crashes[i];
-        is_new |=
-            add_crash(entry, (struct crash){crash->id, crash->server,
-                                            now_ms - MAX(crash->age_ms, 0)});
-    }
-    /* Each transfer makes a clear seem later by its duration, so its time is
-     * taken only once. */
-    if (is_later_clear(record, entry)) {
-        entry->n_clears = record->n_clears;
-        entry->clearer = record->clearer;
-        entry->cleared_ms = now_ms - MAX(record->clear_age_ms, 0);
-        is_new = true;
+    if (!is_later(&record->state, &entry->state)) {
+        return false;
     }
-    if (is_new) {
-        note_change(entry, now_ms);
-    }
-    return is_new;
+    entry->state = record->state;
+    entry->crashed_ms = now_ms - MAX(record->crash_age_ms, 0);
+    note_change(entry, now_ms);
+    return true;
 }
 
 /* Returns a hash of the blocked parts; 0: none.  Nodes with different hashes
@@ -491,7 +390,7 @@
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct entry *entry = value;
-        if (judge(quarantine, entry).blocked_until_ms > now_ms) {
+        if (blocked_until_ms(quarantine, entry) > now_ms) {
             digest += base_hash(&entry->part, sizeof(entry->part), 0);
         }
     }
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -34,8 +34,7 @@
 #endif
 
 enum {
-    QUARANTINE_MAX_PARTS = 16,  /* of one prompt; further ones are ignored */
-    QUARANTINE_MAX_CRASHES = 8, /* newest crashes in a record */
+    QUARANTINE_MAX_PARTS = 16, /* of one prompt; further ones are ignored */
 };
 
 /* The parts of a prompt that other requests may share, as hashes. */
@@ -55,19 +54,20 @@
     int max_records;    /* then those with the fewest crashes go; 512 */
 };
 
-/* What is known of one part.  Ages are in ms, so that clocks of nodes need not
- * agree. */
+/* What the nodes know of one part.  The later of two states counts, see
+ * quarantine_merge. */
+struct quarantine_state {
+    uint32_t n_clears;  /* times that an answer cleared the part */
+    uint32_t n_crashes; /* since then */
+    uint64_t crash;     /* id of the last of them; 0: none */
+    uint64_t server;    /* that crashed, the hash of its name */
+};
+
+/* A state as nodes exchange it.  Ages, so that their clocks need not agree. */
 struct quarantine_record {
     uint64_t part;
-    int n_crashes;
-    struct quarantine_crash {
-        uint64_t id;
-        uint64_t server; /* hash of the server's name */
-        int64_t age_ms;
-    } crashes[QUARANTINE_MAX_CRASHES];
-    uint32_t n_clears;    /* times that an answer cleared the part */
-    uint64_t clearer;     /* number of the node that had the last of them */
-    int64_t clear_age_ms; /* its age; 0: none */
+    struct quarantine_state state;
+    int64_t crash_age_ms;
 };
 
 struct quarantine {
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -157,7 +157,9 @@
 
     a.crash({SHARED, CULPRIT}, 1, 0);
     b.crash({SHARED, CULPRIT}, 1, 20); /* the same crash */
+    a.send_to(b, 100);
     b.crash({SHARED, CULPRIT}, 2, 500);
+    b.send_to(c, 600);
     c.crash({SHARED, CULPRIT}, 3, 900);
     c.answer({SHARED}, 950);
     a.send_to(b, 1000);
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -40,7 +40,6 @@
 typedef struct Control__Record Control__Record;
 typedef struct Control__RateAsk Control__RateAsk;
 typedef struct Control__RateAnswer Control__RateAnswer;
-typedef struct Control__PromptCrash Control__PromptCrash;
 typedef struct Control__PromptPart Control__PromptPart;
 typedef struct Control__PromptParts Control__PromptParts;
 
@@ -487,24 +486,6 @@
     , 0, 0 }
 
 
-/*
- * A crash of a server, given by the hash of its name. 
- */
-struct  Control__PromptCrash
-{
-  ProtobufCMessage base;
-  uint64_t server;
-  int64_t age_ms;
-  /*
-   * the lowest of those that the nodes gave the crash 
-   */
-  uint64_t id;
-};
-#define CONTROL__PROMPT_CRASH__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&control__prompt_crash__descriptor) \
-    , 0, 0, 0 }
-
-
 /*
  * What the sender knows of one part of prompts; see packages/quarantine. 
  */
@@ -512,21 +493,27 @@
 {
   ProtobufCMessage base;
   uint64_t part;
-  size_t n_crashes;
-  Control__PromptCrash **crashes;
   /*
    * times that an answer cleared the part 
    */
   uint32_t n_clears;
-  int64_t clear_age_ms;
   /*
-   * hash of the name of the node that had the last 
+   * since then 
+   */
+  uint32_t n_crashes;
+  /*
+   * id of the last of them 
+   */
+  uint64_t crash;
+  /*
+   * that crashed, the hash of its name 
    */
-  uint64_t clearer;
+  uint64_t server;
+  int64_t crash_age_ms;
 };
 #define CONTROL__PROMPT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__prompt_part__descriptor) \
-    , 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1018,25 +1005,6 @@
 void   control__rate_answer__free_unpacked
                      (Control__RateAnswer *message,
                       ProtobufCAllocator *allocator);
-/* Control__PromptCrash methods */
-void   control__prompt_crash__init
-                     (Control__PromptCrash         *message);
-size_t control__prompt_crash__get_packed_size
-                     (const Control__PromptCrash   *message);
-size_t control__prompt_crash__pack
-                     (const Control__PromptCrash   *message,
-                      uint8_t             *out);
-size_t control__prompt_crash__pack_to_buffer
-                     (const Control__PromptCrash   *message,
-                      ProtobufCBuffer     *buffer);
-Control__PromptCrash *
-       control__prompt_crash__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   control__prompt_crash__free_unpacked
-                     (Control__PromptCrash *message,
-                      ProtobufCAllocator *allocator);
 /* Control__PromptPart methods */
 void   control__prompt_part__init
                      (Control__PromptPart         *message);
@@ -1152,9 +1120,6 @@
 typedef void (*Control__RateAnswer_Closure)
                  (const Control__RateAnswer *message,
                   void *closure_data);
-typedef void (*Control__PromptCrash_Closure)
-                 (const Control__PromptCrash *message,
-                  void *closure_data);
 typedef void (*Control__PromptPart_Closure)
                  (const Control__PromptPart *message,
                   void *closure_data);
@@ -1192,7 +1157,6 @@
 extern const ProtobufCMessageDescriptor control__record__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_ask__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_answer__descriptor;
-extern const ProtobufCMessageDescriptor control__prompt_crash__descriptor;
 extern const ProtobufCMessageDescriptor control__prompt_part__descriptor;
 extern const ProtobufCMessageDescriptor control__prompt_parts__descriptor;
 
