--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -226,6 +226,49 @@
     }
 }
 
+/* However many servers crash before all nodes know of it, and however late
+ * some reports are: the exchange comes to rest, and the end of the block
+ * stays. */
+TEST(Quarantine, ManyCrashesComeToRest)
+{
+    enum { N_NODES = 12, N_ROUNDS = 200, MAX_TRANSFER_MS = 2000 };
+    std::mt19937 random(1);
+    std::vector<std::unique_ptr<Node>> nodes;
+    struct quarantine_parts parts = parts_of({CULPRIT});
+    int64_t now_ms = 10000;
+
+    for (uint64_t i = 0; i < N_NODES; i++) {
+        nodes.push_back(std::make_unique<Node>(0, i + 1));
+        for (uint64_t crash = 0; crash < 3; crash++) {
+            nodes[i]->crash({CULPRIT}, 10 * i + crash,
+                            (int64_t)(1000 + 400 * crash + 20 * i));
+        }
+    }
+    auto exchange = [&] {
+        now_ms += 100;
+        for (size_t i = 0; i < 3 * N_NODES; i++) {
+            nodes[i % N_NODES]->send_to(*nodes[random() % N_NODES], now_ms,
+                                        true, random() % MAX_TRANSFER_MS);
+        }
+    };
+    for (int round = 0; round < N_NODES; round++) {
+        exchange();
+    }
+    std::vector<int64_t> ends;
+    for (auto &node : nodes) {
+        ends.push_back(quarantine_blocked_ms(&node->quarantine, &parts, 0));
+        EXPECT_GT(ends.back(), 0);
+    }
+    for (int round = 0; round < N_ROUNDS; round++) {
+        exchange();
+    }
+    for (size_t i = 0; i < N_NODES; i++) {
+        EXPECT_EQ(quarantine_blocked_ms(&nodes[i]->quarantine, &parts, 0),
+                  ends[i])
+            << i;
+    }
+}
+
 /* Nodes that cleared a part at the same time must come to the same result. */
 TEST(Quarantine, ClearsAtTheSameTimeAgree)
 {
