--- a/packages/wire/packet.c
+++ b/packages/wire/packet.c
@@ -213,15 +213,29 @@
     g_free(data);
 }
 
+/* Whether a decoded message has a field with number 0.  No field may have it;
+ * protobuf-c refuses it only in the shortest form of the number. */
+static bool
+has_field_zero(const ProtobufCMessage *message)
+{
+    for (unsigned i = 0; i < message->n_unknown_fields; i++) {
+        if (message->unknown_fields[i].tag == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Checks that a decoded packet has a version that this node can read, a valid
- * sender, and exactly n_frames messages whose body is in a frame of its own.
- */
+ * sender, no field with number 0, and exactly n_frames messages whose body is
+ * in a frame of its own. */
 bool
 wire_packet_is_readable(const Wire__Packet *packet, size_t n_frames)
 {
     size_t n_body_frames = 0;
 
-    if (packet->version == 0 || packet->needs_version > WIRE_VERSION) {
+    if (packet->version == 0 || packet->needs_version > WIRE_VERSION ||
+        has_field_zero(&packet->base)) {
         return false;
     }
     if (packet->n_messages > MAX_MESSAGES || packet->sender[0] == '\0' ||
@@ -229,6 +243,9 @@
         return false;
     }
     for (size_t i = 0; i < packet->n_messages; i++) {
+        if (has_field_zero(&packet->messages[i]->base)) {
+            return false;
+        }
         n_body_frames += packet->messages[i]->body_follows ? 1 : 0;
     }
     return n_body_frames == n_frames;
