Spare parts that were answered lately when a culprit is blocked

Cause: parts were judged only by what came after the first crash. While servers are down and sound requests wait, three crashes can follow each other without an answer in between; then all nodes block the first part, so nobody can bring the answer that would clear it.

Change: a node remembers for one to two minutes which parts were answered, at most 2 x 2,048. Such a part needs twice the crashes, by when the culprit, which was not answered, is blocked and explains them; and its crashes don't keep its neighbours from a second attempt. A part that begins to crash servers later is still blocked, after six.

--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -12,8 +12,14 @@
     /* Time in which all nodes hear of a crash: that of a request, and four
      * rounds of reports. */
     NEWS_MS = 500,
-    FORGET_MS = 120000, /* after the last change of a part not blocked */
+    /* After the last change of a part not blocked.  Answers are remembered for
+     * this time at most, and for half of it at least. */
+    FORGET_MS = 120000,
     DEFAULT_MAX_RECORDS = 512,
+    DEFAULT_MAX_ANSWERED = 2048,
+    /* A part that was answered lately needs as many times the crashes: then
+     * the culprit, which mostly was not, is blocked first and alone. */
+    ANSWERED_FACTOR = 2,
     /* Reports of one server within this time are of one crash: a server needs
      * longer to start again. */
     SAME_CRASH_MS = 1000,
@@ -36,6 +42,13 @@
     quarantine->desc.n_nodes = MAX(n_nodes, 1);
 }
 
+/* Returns an empty set of parts. */
+static GHashTable *
+new_set(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
 /* Initializes an empty quarantine. */
 void
 quarantine_init(struct quarantine *quarantine,
@@ -58,8 +71,14 @@
         quarantine->desc.max_records = DEFAULT_MAX_RECORDS;
     }
     quarantine_set_nodes(quarantine, desc->n_nodes);
+    if (desc->max_answered == 0) {
+        quarantine->desc.max_answered = DEFAULT_MAX_ANSWERED;
+    }
     quarantine->entries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    quarantine->answered = new_set();
+    quarantine->answered_before = new_set();
+    quarantine->answered_since_ms = 0;
 }
 
 /* Frees the contents. */
@@ -67,6 +86,8 @@
 quarantine_finish(struct quarantine *quarantine)
 {
     g_hash_table_destroy(quarantine->entries);
+    g_hash_table_destroy(quarantine->answered);
+    g_hash_table_destroy(quarantine->answered_before);
 }
 
 /* Makes the hashes those of the parts at one deployment: a part may crash the
@@ -87,19 +108,44 @@
     return g_hash_table_lookup(quarantine->entries, &part);
 }
 
-/* Returns the time until which a part is blocked; 0: it has never been since
- * its last answer.  Each crash after a block doubles the time. */
+/* Whether this node had an answer to a request with the part lately. */
+static bool
+was_answered(const struct quarantine *quarantine, uint64_t part)
+{
+    return g_hash_table_contains(quarantine->answered, &part) ||
+           g_hash_table_contains(quarantine->answered_before, &part);
+}
+
+/* Returns the number of crashes after which this node blocks a part. */
+static int
+max_crashes_of(const struct quarantine *quarantine, const struct entry *entry)
+{
+    return quarantine->desc.max_crashes *
+           (was_answered(quarantine, entry->part) ? ANSWERED_FACTOR : 1);
+}
+
+/* Returns the time until which a part is blocked if max_crashes block it; 0:
+ * it has never been since its last answer.  Each crash after a block doubles
+ * the time. */
 static int64_t
-blocked_until_ms(const struct quarantine *quarantine,
-                 const struct entry *entry)
+blocked_from_ms(const struct quarantine *quarantine, const struct entry *entry,
+                int max_crashes)
 {
-    const struct quarantine_desc *desc = &quarantine->desc;
-    int n_doublings = (int)entry->state.n_crashes - desc->max_crashes;
+    int n_doublings = (int)entry->state.n_crashes - max_crashes;
 
     return n_doublings < 0
                ? 0
-               : entry->crashed_ms +
-                     (desc->block_ms << MIN(n_doublings, MAX_DOUBLINGS));
+               : entry->crashed_ms + (quarantine->desc.block_ms
+                                      << MIN(n_doublings, MAX_DOUBLINGS));
+}
+
+/* Returns the time until which this node blocks a part, or 0. */
+static int64_t
+blocked_until_ms(const struct quarantine *quarantine,
+                 const struct entry *entry)
+{
+    return blocked_from_ms(quarantine, entry,
+                           max_crashes_of(quarantine, entry));
 }
 
 /* Whether a crash is a further one.  A crash breaks many connections, and
@@ -181,8 +227,8 @@
     return wait_ms;
 }
 
-/* Returns the highest number of crashes that count against one of the
- * parts. */
+/* Returns the highest number of crashes that count against one of the parts.
+ * Those of a part that was answered lately count beyond what blocks others. */
 int
 quarantine_suspicion(const struct quarantine *quarantine,
                      const struct quarantine_parts *parts)
@@ -192,7 +238,9 @@
     for (int i = 0; i < parts->n_parts; i++) {
         const struct entry *entry = find_entry(quarantine, parts->parts[i]);
         if (entry != NULL) {
-            most = MAX(most, (int)entry->state.n_crashes);
+            int n_spared = max_crashes_of(quarantine, entry) -
+                           quarantine->desc.max_crashes;
+            most = MAX(most, (int)entry->state.n_crashes - n_spared);
         }
     }
     return most;
@@ -277,6 +325,24 @@
     }
 }
 
+/* Ends the generation of answered parts if it is old or full, and forgets the
+ * one before. */
+static void
+renew_answered(struct quarantine *quarantine, int64_t now_ms)
+{
+    GHashTable *forgotten = quarantine->answered_before;
+
+    if (now_ms - quarantine->answered_since_ms < FORGET_MS / 2 &&
+        (int)g_hash_table_size(quarantine->answered) <
+            quarantine->desc.max_answered) {
+        return;
+    }
+    g_hash_table_remove_all(forgotten);
+    quarantine->answered_before = quarantine->answered;
+    quarantine->answered = forgotten;
+    quarantine->answered_since_ms = now_ms;
+}
+
 /* Notes that a server answered a request with these parts.  Returns whether
  * that cleared a part of a crash. */
 bool
@@ -285,8 +351,14 @@
 {
     bool is_cleared = false;
 
+    renew_answered(quarantine, now_ms);
     for (int i = 0; i < parts->n_parts; i++) {
         struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (!g_hash_table_contains(quarantine->answered, &parts->parts[i])) {
+            g_hash_table_add(
+                quarantine->answered,
+                g_memdup2(&parts->parts[i], sizeof(parts->parts[i])));
+        }
         if (entry == NULL || entry->state.n_crashes == 0) {
             continue;
         }
@@ -298,13 +370,15 @@
     return is_cleared;
 }
 
-/* Drops the records that neither block nor have changed for FORGET_MS. */
+/* Drops the records that neither block nor have changed for FORGET_MS, and old
+ * answers. */
 void
 quarantine_expire(struct quarantine *quarantine, int64_t now_ms)
 {
     GHashTableIter iter;
     gpointer value;
 
+    renew_answered(quarantine, now_ms);
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct entry *entry = value;
@@ -378,8 +452,9 @@
     return true;
 }
 
-/* Returns a hash of the blocked parts; 0: none.  Nodes with different hashes
- * should exchange all records. */
+/* Returns a hash of the parts that are blocked where they were not answered
+ * lately; 0: none.  Nodes with different hashes should exchange all records.
+ */
 uint64_t
 quarantine_digest(const struct quarantine *quarantine, int64_t now_ms)
 {
@@ -390,7 +465,8 @@
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct entry *entry = value;
-        if (blocked_until_ms(quarantine, entry) > now_ms) {
+        if (blocked_from_ms(quarantine, entry, quarantine->desc.max_crashes) >
+            now_ms) {
             digest += base_hash(&entry->part, sizeof(entry->part), 0);
         }
     }
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -8,6 +8,8 @@
  * after several crashes with no answer in between; an answer clears it.  So
  * the parts of requests that merely ran beside the culprit are cleared by the
  * next sound request, and one crash that breaks many connections counts once.
+ * A part that was answered in the last minute or two needs more crashes, since
+ * the culprit of the same prompts, which was not, explains them.
  * After a while single requests may try again, since a server can be mended;
  * another crash then blocks the part for twice as long.
  *
@@ -52,6 +54,8 @@
     uint64_t node;      /* number of this node, different for each */
     int n_nodes;        /* see quarantine_set_nodes; 1 */
     int max_records;    /* then those with the fewest crashes go; 512 */
+    int max_answered;   /* remembered parts that were answered lately, half of
+                           them; 2,048 */
 };
 
 /* What the nodes know of one part.  The later of two states counts, see
@@ -73,6 +77,11 @@
 struct quarantine {
     struct quarantine_desc desc;
     GHashTable *entries; /* part to struct entry */
+    /* Parts that this node had answers to: since answered_since_ms, and in the
+     * generation before. */
+    GHashTable *answered;
+    GHashTable *answered_before;
+    int64_t answered_since_ms;
 };
 
 void quarantine_init(struct quarantine *quarantine,
