Count quick crashes on different servers that nodes hear of

Cause: crashes less than 200 ms apart counted once, so three of them take at least 400 ms, however many servers end meanwhile. The pause is there since a node that is cut off loses its connections to many servers at once, but it applied to crashes that the node had heard of from others, too.

Change: a node pauses only between crashes that it saw itself. Nodes that see crashes at the same moment still count one together, since states are joined by their maximum. The last four servers of a part are remembered, so that a crash is not counted again by a node that notices it after it heard of others. prompt.crash logs the number of crashes as it is. Numbers in a peer's record are limited.

--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -1,9 +1,10 @@
 #include "control/control_private.h"
 
 enum {
-    FANOUT = 3,      /* peers that a round of changes goes to */
-    ROUND_MS = 100,  /* between rounds; equals the tick of an idle task */
-    EXPIRY_MS = 1000 /* between looks for records that may be dropped */
+    FANOUT = 3,       /* peers that a round of changes goes to */
+    ROUND_MS = 100,   /* between rounds; equals the tick of an idle task */
+    EXPIRY_MS = 1000, /* between looks for records that may be dropped */
+    MAX_CRASHES = 1 << 20, /* in one record; far more than can happen */
 };
 
 /* Initializes an empty quarantine. */
@@ -104,19 +105,19 @@
     base_counter_add(prompt_parts->crashes, 1);
     for (int i = 0; i < parts->n_parts; i++) {
         struct quarantine_parts part = {1, {parts->parts[i]}};
-        int suspicion;
+        int n_crashes;
         int64_t blocked_ms;
         g_mutex_lock(&prompt_parts->lock);
         quarantine_note_crash(&prompt_parts->quarantine, &part,
                               base_hash_text(server, 0), now_ms);
-        suspicion = quarantine_suspicion(&prompt_parts->quarantine, &part);
+        n_crashes = quarantine_crashes(&prompt_parts->quarantine, &part);
         blocked_ms =
             quarantine_blocked_ms(&prompt_parts->quarantine, &part, now_ms);
         g_mutex_unlock(&prompt_parts->lock);
         base_log(BASE_LOG_NOTICE, "prompt.crash",
                  "part=%016" G_GINT64_MODIFIER
                  "x server=%s crashes=%d blocked_ms=%" G_GINT64_FORMAT,
-                 parts->parts[i], server, suspicion, blocked_ms);
+                 parts->parts[i], server, n_crashes, blocked_ms);
     }
 }
 
@@ -252,7 +253,8 @@
 {
     struct quarantine_record record = {
         .part = in->part,
-        .state = {in->n_clears, in->n_crashes, in->crash, in->server},
+        .state = {in->n_clears, MIN(in->n_crashes, MAX_CRASHES), in->crash,
+                  in->server},
         .crash_age_ms = in->crash_age_ms,
     };
 
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -23,14 +23,27 @@
     /* Reports of one server within this time are of one crash: a server needs
      * longer to start again. */
     SAME_CRASH_MS = 1000,
-    ROUNDS = 4, /* rounds in which a change is taken for the peers */
+    MAX_AGE_MS = 1 << 30, /* of a crash in a record */
+    ROUNDS = 4,           /* rounds in which a change is taken for the peers */
+    /* Servers whose crash a node may notice after it heard of further ones. */
+    MAX_RECENT = 4,
+};
+
+/* A server that crashed, and when this node heard of it. */
+struct recent {
+    uint64_t server;
+    int64_t crashed_ms;
 };
 
 struct entry {
     uint64_t part;
     struct quarantine_state state; /* see quarantine.h */
-    int64_t crashed_ms; /* time of the last crash, as this node heard of it */
+    int64_t crashed_ms;            /* last crash, as this node heard of it */
+    int64_t noted_ms; /* last crash that this node counted itself */
     int64_t changed_ms;
+    struct recent recent[MAX_RECENT]; /* in the order of n_recent % MAX_RECENT
+                                       */
+    int n_recent;
     int64_t tried_ms; /* last time this node admitted a try; 0: never */
     int rounds;       /* remaining rounds that take the entry */
 };
@@ -148,21 +161,38 @@
                            max_crashes_of(quarantine, entry));
 }
 
-/* Whether a crash is a further one.  A crash breaks many connections, and
- * while a part is blocked, requests that were sent before crash servers. */
+/* Whether a crash of the server was counted a moment ago: a crash breaks many
+ * connections, of several nodes. */
+static bool
+is_known_crash(const struct entry *entry, uint64_t server, int64_t now_ms)
+{
+    for (int i = 0; i < MIN(entry->n_recent, MAX_RECENT); i++) {
+        if (entry->recent[i].server == server &&
+            now_ms - entry->recent[i].crashed_ms < SAME_CRASH_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a crash is a further one.  While a part is blocked, requests that
+ * were sent before crash servers.  When a node is cut off, its connections to
+ * many servers break at once; crashes that it has heard of from others are not
+ * of this kind, and add up without a pause. */
 static bool
 is_further_crash(const struct quarantine *quarantine,
                  const struct entry *entry, uint64_t server, int64_t now_ms)
 {
-    int64_t since_ms = now_ms - entry->crashed_ms;
+    int64_t since_ms =
+        now_ms - (was_answered(quarantine, entry->part) ? entry->crashed_ms
+                                                        : entry->noted_ms);
 
     if (entry->state.n_crashes == 0) {
         return true;
     }
     return now_ms >= blocked_until_ms(quarantine, entry) &&
-           since_ms >= (server == entry->state.server
-                            ? SAME_CRASH_MS
-                            : quarantine->desc.spacing_ms);
+           !is_known_crash(entry, server, now_ms) &&
+           since_ms >= quarantine->desc.spacing_ms;
 }
 
 /* Returns for how many ms more requests with one of these parts must not reach
@@ -227,6 +257,23 @@
     return wait_ms;
 }
 
+/* Returns the highest number of crashes of one of the parts since its last
+ * answer. */
+int
+quarantine_crashes(const struct quarantine *quarantine,
+                   const struct quarantine_parts *parts)
+{
+    int most = 0;
+
+    for (int i = 0; i < parts->n_parts; i++) {
+        const struct entry *entry = find_entry(quarantine, parts->parts[i]);
+        if (entry != NULL) {
+            most = MAX(most, (int)entry->state.n_crashes);
+        }
+    }
+    return most;
+}
+
 /* Returns the highest number of crashes that count against one of the parts.
  * Those of a part that was answered lately count beyond what blocks others. */
 int
@@ -291,6 +338,7 @@
     }
     entry = g_new0(struct entry, 1);
     entry->part = part;
+    entry->noted_ms = INT64_MIN / 2; /* never; differences don't overflow */
     g_hash_table_insert(quarantine->entries, &entry->part, entry);
     return entry;
 }
@@ -302,6 +350,15 @@
     entry->rounds = ROUNDS;
 }
 
+static void
+remember_crash(struct entry *entry, uint64_t server, int64_t crashed_ms)
+{
+    entry->crashed_ms = crashed_ms;
+    entry->recent[entry->n_recent % MAX_RECENT] =
+        (struct recent){server, crashed_ms};
+    entry->n_recent++;
+}
+
 /* Notes that a server, given by the hash of its name, crashed while it had not
  * begun to answer a request with these parts. */
 void
@@ -320,7 +377,8 @@
         entry->state.n_crashes++;
         entry->state.crash = base_hash(origin, sizeof(origin), 0);
         entry->state.server = server;
-        entry->crashed_ms = now_ms;
+        entry->noted_ms = now_ms;
+        remember_crash(entry, server, now_ms);
         note_change(entry, now_ms);
     }
 }
@@ -447,7 +505,8 @@
         return false;
     }
     entry->state = record->state;
-    entry->crashed_ms = now_ms - MAX(record->crash_age_ms, 0);
+    remember_crash(entry, record->state.server,
+                   now_ms - CLAMP(record->crash_age_ms, 0, MAX_AGE_MS));
     note_change(entry, now_ms);
     return true;
 }
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -48,7 +48,8 @@
 /* 0: the default, which the comment gives. */
 struct quarantine_desc {
     int max_crashes;    /* crashes after which a part is blocked; 3 */
-    int64_t spacing_ms; /* crashes closer together count once; 200 */
+    int64_t spacing_ms; /* crashes that one node sees closer together count
+                           once; 200 */
     int64_t block_ms;   /* time from the crash to the first try; 10,000 */
     int64_t retry_ms;   /* time from one try of this node to the next; 2,000 */
     uint64_t node;      /* number of this node, different for each */
@@ -94,6 +95,8 @@
 int64_t quarantine_blocked_ms(const struct quarantine *quarantine,
                               const struct quarantine_parts *parts,
                               int64_t now_ms);
+int quarantine_crashes(const struct quarantine *quarantine,
+                       const struct quarantine_parts *parts);
 int quarantine_suspicion(const struct quarantine *quarantine,
                          const struct quarantine_parts *parts);
 void quarantine_scope(struct quarantine_parts *parts, const char *deployment);
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -457,6 +457,63 @@
     }
 }
 
+/* Plays 84 nodes that report changes every 100 ms, where a request with the
+ * part comes every 20 ms as long as n_crashes are not reached.  Returns the
+ * time until all nodes know of n_known crashes, in ms. */
+int64_t
+play_fleet(uint32_t seed, int n_crashes, int n_known)
+{
+    enum { N_NODES = 84, FANOUT = 3, ROUND_STEPS = 20, STEP_MS = 5 };
+    enum { EVERY_MS = 20, TRANSFER_MS = 20, END_MS = 10000 };
+    std::mt19937 random(seed);
+    std::vector<std::unique_ptr<Node>> nodes;
+    struct quarantine_parts parts = parts_of({CULPRIT});
+    int server = 0;
+    int64_t now_ms = 0;
+
+    for (uint64_t i = 0; i < N_NODES; i++) {
+        nodes.push_back(std::make_unique<Node>(0, i + 1));
+    }
+    for (int n_knowing = 0; n_knowing < N_NODES && now_ms < END_MS;) {
+        now_ms += STEP_MS;
+        Node &node = *nodes[random() % N_NODES];
+        if (now_ms % EVERY_MS == 0 && server < n_crashes) {
+            node.crash({CULPRIT}, (uint64_t)++server, now_ms);
+        }
+        n_knowing = 0;
+        for (int i = 0; i < N_NODES; i++) {
+            if ((now_ms / STEP_MS + i) % ROUND_STEPS == 0) {
+                std::vector<Node *> peers(FANOUT);
+                for (Node *&peer : peers) {
+                    peer = nodes[random() % N_NODES].get();
+                }
+                nodes[i]->send_to(peers, now_ms, false, TRANSFER_MS);
+            }
+            n_knowing +=
+                quarantine_crashes(&nodes[i]->quarantine, &parts) >= n_known
+                    ? 1
+                    : 0;
+        }
+    }
+    return now_ms;
+}
+
+/* Crashes that come quicker than 200 ms after each other, at many nodes: the
+ * third blocks the part, so all nodes must know of it within twice the time
+ * in which they hear of one. */
+TEST(Quarantine, QuickCrashesAreBlockedAsSoonAsNodesHearOfThem)
+{
+    enum { N_SEEDS = 20, MANY = 1000 };
+    int64_t one_ms = 0;
+    int64_t three_ms = 0;
+
+    for (uint32_t seed = 1; seed <= N_SEEDS; seed++) {
+        one_ms += play_fleet(seed, 1, 1);
+        three_ms += play_fleet(seed, MANY, 3);
+    }
+    EXPECT_LE(three_ms, 2 * one_ms);
+}
+
 TEST(Quarantine, RecordsEndUnlessTheyAreRepeatedForever)
 {
     Node a, b;
