Fuzz the records of prompt parts that nodes exchange

Change: fuzz_control merges them into a quarantine, twice, and looks that the second copy changes nothing.

--- a/packages/control/fuzz_control.c
+++ b/packages/control/fuzz_control.c
@@ -1,13 +1,16 @@
 /* Feeds arbitrary bytes as the body of a message between control tasks; the
- * first byte chooses the kind.  Membership messages are applied to a node's
- * state, which must stay consistent; all other kinds must be decoded or
- * rejected without a fault. */
+ * first byte chooses the kind.  Membership messages and records of prompt
+ * parts are applied to a node's state, which must stay consistent; all other
+ * kinds must be decoded or rejected without a fault. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/control_private.h"
 
-enum { MAX_RECORD = 1 << 20 };
+enum {
+    MAX_RECORD = 1 << 20,
+    PROMPT_PARTS = 0xff, /* first byte of records of prompt parts */
+};
 
 static void
 require(bool holds)
@@ -97,6 +100,32 @@
     members_free(members);
 }
 
+static void
+fuzz_prompt_parts(const uint8_t *data, size_t size)
+{
+    struct control control = {.now_ms = 1000};
+    struct quarantine *quarantine = &control.prompt_parts.quarantine;
+    struct wire_message message = {
+        .sender = "peer", .body = data, .size = size};
+
+    g_mutex_init(&control.prompt_parts.lock);
+    quarantine_init(quarantine, &(struct quarantine_desc){0});
+    if (control_prompt_parts_receive(&control, &message)) {
+        GArray *records;
+        uint64_t digest = quarantine_digest(quarantine, control.now_ms);
+
+        /* A second copy changes nothing. */
+        control_prompt_parts_receive(&control, &message);
+        require(quarantine_digest(quarantine, control.now_ms) == digest);
+        records = quarantine_take(quarantine, true, control.now_ms);
+        if (records != NULL) {
+            g_array_free(records, TRUE);
+        }
+        quarantine_expire(quarantine, INT64_MAX / 2);
+    }
+    control_prompt_parts_finish(&control);
+}
+
 /* Called by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -106,6 +135,10 @@
     if (size == 0) {
         return 0;
     }
+    if (data[0] == PROMPT_PARTS) {
+        fuzz_prompt_parts(data + 1, size - 1);
+        return 0;
+    }
     if (data[0] % 2 == 0) {
         fuzz_gossip(data + 1, size - 1);
         return 0;
