Take no interim response for an answer

What a caller could see: status 100 with the bytes of the server's real answer as its body, if a server sends "HTTP/1.1 100 Continue" unasked; and a server that sends interim responses without end kept the request until its deadline.

Cause: libwebsockets reports an interim response like a final one, and what follows it as its body.

Change: such a call fails at once as corrupt; it may have run.

Test: Backends.HeadWithoutEndEndsTheCall plays eight kinds of heads without end; the interim responses failed before (67 MB taken as a body), the seven others were ended by libwebsockets' limit of 64 KiB already.

--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -5,7 +5,11 @@
 
 #include "backends/backends_private.h"
 
-enum { HEADER_VALUE_SIZE = 256, BODY_WRITE_SIZE = 65536 };
+enum {
+    HEADER_VALUE_SIZE = 256,
+    BODY_WRITE_SIZE = 65536,
+    FIRST_FINAL_STATUS = 200,
+};
 
 static bool
 add_header(struct lws *wsi, const char *name, const char *value,
@@ -193,6 +197,14 @@
     call->status = (int)lws_http_client_http_response(wsi);
     find_framing(call, wsi);
     backends_call_enter(call, BACKENDS_READING);
+    if (call->status < FIRST_FINAL_STATUS) {
+        /* libwebsockets takes what follows it for its body. */
+        call->status = 0;
+        backends_call_fail(call, BASE_CORRUPT,
+                           "an interim response, which was not asked for");
+        backends_call_end(call);
+        return -1;
+    }
     if (!is_own_response(call, wsi)) {
         backends_call_fail(
             call, BASE_CORRUPT,
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -326,6 +326,50 @@
 /* A cancel from within head (0) or body (1), on a paused call (2) or
  * before the connection is established (3) must call `done` exactly once and
  * close the connection; a second cancel must do nothing. */
+/* A server in trouble sends until the client closes; no limit of silence ends
+ * that. */
+TEST_F(Backends, HeadWithoutEndEndsTheCall)
+{
+    enum { PIECE = 4096, MAX_SENT = 8 << 20, GIVES_UP = 64 << 20 };
+    struct {
+        const char *what;
+        const char *first;
+        std::string piece;
+    } cases[] = {
+        {"no head at all", "", std::string(PIECE, 'x')},
+        {"a status line", "HTTP/1.1 200 ", std::string(PIECE, 'x')},
+        {"a header's name", "HTTP/1.1 200 OK\r\n", std::string(PIECE, 'x')},
+        {"a header's value",
+         "HTTP/1.1 200 OK\r\nx-a: ", std::string(PIECE, 'x')},
+        {"the length",
+         "HTTP/1.1 200 OK\r\ncontent-length: ", std::string(PIECE, '1')},
+        {"headers", "HTTP/1.1 200 OK\r\n",
+         "x-a: b\r\nx-c: d\r\ncontent-type: text/plain\r\n"},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"line feeds", "", "\r\n\r\n\r\n"},
+    };
+
+    for (const auto &c : cases) {
+        std::atomic<size_t> n_sent{0};
+        struct test_server server([&](int fd, const std::string &) {
+            bool is_open = test_write(fd, c.first);
+            while (is_open && n_sent < GIVES_UP) {
+                is_open = test_write(fd, c.piece);
+                n_sent += c.piece.size();
+            }
+            test_wait_for_close(fd);
+        });
+        struct record record = {};
+        run(request_to(server.port), &record);
+        EXPECT_NE(record.result.err.code, BASE_OK) << c.what;
+        EXPECT_EQ(record.result.verdict, BASE_MAY_HAVE_RUN) << c.what;
+        EXPECT_FALSE(record.result.is_complete) << c.what;
+        EXPECT_EQ(record.n_head, 0) << c.what;
+        EXPECT_TRUE(record.body.empty()) << c.what;
+        EXPECT_LE(n_sent, (size_t)MAX_SENT) << c.what;
+    }
+}
+
 TEST_F(Backends, CancelClosesTheConnection)
 {
     for (int cancel_at = 0; cancel_at < 4; cancel_at++) {
--- a/packages/backends/test_server.h
+++ b/packages/backends/test_server.h
@@ -22,7 +22,8 @@
 #include <thread>
 #include <vector>
 
-static inline void
+/* Sends the text.  Returns false if the other side has closed. */
+static inline bool
 test_write(int fd, const std::string &text)
 {
     size_t sent = 0;
@@ -30,10 +31,11 @@
         ssize_t n =
             send(fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
         if (n <= 0) {
-            return;
+            return false;
         }
         sent += (size_t)n;
     }
+    return true;
 }
 
 /* Reads a request: the head, and as many bytes of body as its content-length
