Close streams of items that are out of order or without end

What operators of similar systems saw: a server in trouble sends bytes without end, until the caller closes.

Cause: jobs_events_feed noted that a stream was corrupt, but nothing ended the attempt, later bytes were still collected, and the data of all events together had no limit.

Change: the attempt ends at once, the item runs again; a stream has 16 MiB of data at most. jobs.attempt_ended names the reason.

--- a/packages/jobs/events.c
+++ b/packages/jobs/events.c
@@ -2,8 +2,11 @@
 
 #include <string.h>
 
-/* Limits the memory for an incomplete event. */
-enum { MAX_EVENT_BYTES = 1 << 20 };
+/* Limits the memory for one stream. */
+enum {
+    MAX_EVENT_BYTES = 1 << 20, /* an incomplete event */
+    MAX_TEXT_BYTES = 16 << 20, /* the data of all events */
+};
 
 /* Initialises an empty collection. */
 void
@@ -105,8 +108,9 @@
     if (event.data == NULL) {
         return; /* a comment or a keep-alive without data */
     }
-    if (event.has_id && events->count > 0 && events->has_ids &&
-        event.id != events->last_id + 1) {
+    if ((event.has_id && events->count > 0 && events->has_ids &&
+         event.id != events->last_id + 1) ||
+        events->text->len + event.data->len > MAX_TEXT_BYTES) {
         events->is_corrupt = true;
     }
     else {
@@ -122,13 +126,17 @@
     g_string_free(event.data, TRUE);
 }
 
-/* Parses bytes of the stream, which may be split anywhere. */
+/* Parses bytes of the stream, which may be split anywhere.  Ignores all bytes
+ * after the stream has become corrupt. */
 void
 jobs_events_feed(struct jobs_events *events, const char *data, size_t size)
 {
     size_t from = 0;
     const char *end;
 
+    if (events->is_corrupt) {
+        return;
+    }
     g_string_append_len(events->pending, data, (gssize)size);
     while (!events->is_corrupt &&
            (end = g_strstr_len(events->pending->str + from,
--- a/packages/jobs/events.h
+++ b/packages/jobs/events.h
@@ -24,7 +24,8 @@
     int64_t count;    /* number of complete events */
     int64_t last_id;  /* id of the last complete event; 0: none */
     bool has_ids;     /* every event had an id: the stream can be resumed */
-    bool is_corrupt;  /* an event is missing, repeated or too long */
+    bool is_corrupt;  /* an event is missing or repeated, or there is more data
+                         than a stream may have */
 };
 
 void jobs_events_init(struct jobs_events *events);
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -105,6 +105,9 @@
 log_attempt(const struct jobs_work *work, const struct backends_result *result)
 {
     const struct jobs_item *item = work->run->job->items->pdata[work->index];
+    const char *reason = work->events.is_corrupt
+                             ? "events are out of order, or there is too much"
+                             : result->err.text;
 
     base_log(
         BASE_LOG_INFO, "jobs.attempt_ended",
@@ -112,7 +115,7 @@
         " yielded=%d failures=%d error=\"%s\"",
         work->run->head.id, item->id, work->server_name, result->status,
         base_verdict_name(result->verdict), work->events.count,
-        work->is_preempted, work->n_failures, result->err.text);
+        work->is_preempted, work->n_failures, reason);
 }
 
 static void
@@ -197,6 +200,11 @@
         return;
     }
     jobs_events_feed(&work->events, data, size);
+    if (work->events.is_corrupt) {
+        /* The server may go on sending without end. */
+        backends_cancel(&work->run->jobs->backends, work->call);
+        return;
+    }
     if (work->first_event_us == 0 &&
         work->events.count > work->n_earlier_events) {
         work->first_event_us = base_clock_us();
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -977,6 +977,57 @@
     EXPECT_EQ(resumed, "2");
 }
 
+/* A server sends until the client closes.  The node must neither collect all
+ * of it nor keep the item there until the attempt's time limit. */
+TEST(Jobs, AnEndlessStreamIsClosedAndTheItemRunsAgain)
+{
+    enum { PIECE = 65536, MAX_SENT = 32 << 20, GIVES_UP = 128 << 20 };
+    const std::string filler(PIECE, 'x');
+    struct {
+        const char *what;
+        std::string first;
+        std::function<std::string(int)> piece; /* from its number, from 1 */
+    } cases[] = {
+        {"an event without end", "id: 1\ndata: ", [&](int) { return filler; }},
+        {"events without end", "",
+         [&](int number) {
+             return "id: " + std::to_string(number) + "\ndata: " + filler +
+                    "\n\n";
+         }},
+        {"events in the wrong order", event(1) + event(3),
+         [&](int) { return "id: 9\ndata: " + filler + "\n\n"; }},
+    };
+
+    for (const auto &c : cases) {
+        std::atomic<int> n_runs{0};
+        std::atomic<size_t> n_sent{0};
+        Site site([&](int fd, const std::string &request) {
+            if (n_runs++ > 0) {
+                serve(fd, request);
+                return;
+            }
+            test_write(fd, head(request) + chunk(c.first + "\n"));
+            for (int i = 1; n_sent < GIVES_UP; i++) {
+                std::string piece = chunk(c.piece(i));
+                if (!test_write(fd, piece)) {
+                    return;
+                }
+                n_sent += piece.size();
+            }
+            test_wait_for_close(fd);
+        });
+        Node node(site, "n1");
+
+        ASSERT_EQ(node.submit("j", "a"), JOBS_OK) << c.what;
+        EXPECT_EQ(
+            node.wait_for("j", 1),
+            std::vector<std::string>{std::string("a=") + COMPLETE_OUTPUT})
+            << c.what;
+        EXPECT_LE(n_sent, (size_t)MAX_SENT) << c.what;
+        EXPECT_EQ(n_runs, 2) << c.what;
+    }
+}
+
 TEST(Jobs, APreemptedItemReleasesItsSlotAndRunsAgain)
 {
     std::atomic<int> n_runs{0};
