--- a/packages/batch/items.c
+++ b/packages/batch/items.c
@@ -306,14 +306,19 @@
             item->stream_response.n_tokens > item->n_kept_tokens) {
             item->first_token_at_us = base_clock_us();
         }
-        return;
+        item->is_too_large =
+            item->stream_response.text->len > MAX_CONTENT_BYTES;
     }
-    if (item->content->len + size <= MAX_CONTENT_BYTES) {
+    else if (item->content->len + size <= MAX_CONTENT_BYTES) {
         g_string_append_len(item->content, data, (gssize)size);
     }
     else {
         item->is_too_large = true;
     }
+    if (item->is_too_large || item->stream_response.is_response_invalid) {
+        /* The server may go on sending without end. */
+        backends_cancel(&item->run->batch->backends, item->call);
+    }
 }
 
 static void
--- a/packages/batch/test_batch.cc
+++ b/packages/batch/test_batch.cc
@@ -692,6 +692,47 @@
     world_unref(world);
 }
 
+/* A server sends until the client closes: the node must not collect it all,
+ * and the items end. */
+TEST_F(batch_test, EndlessResponsesAreClosed)
+{
+    enum { MAX_SENT = 32 << 20, GIVES_UP = 128 << 20 };
+    std::atomic<size_t> n_sent{0};
+    test_server engine([&](int fd, const std::string &request) {
+        bool is_stream = request.find("sheet stream") != std::string::npos;
+        std::string id = test_header(request, "x-request-id");
+        std::string piece =
+            is_stream ? "data: {\"id\":\"" + id +
+                            "\",\"choices\":[{\"delta\":{\"content\":\"" +
+                            std::string(65536, 'x') + "\"}}]}\n\n"
+                      : std::string(65536, 'x');
+        bool is_open =
+            test_write(fd, std::string("HTTP/1.1 ") +
+                               (is_stream ? "200 OK" : "500 Oops") +
+                               "\r\nx-request-id: " + id +
+                               "\r\ncontent-type: text/event-stream\r\n"
+                               "content-length: 999999999999\r\n\r\n");
+        while (is_open && n_sent < GIVES_UP) {
+            is_open = test_write(fd, piece);
+            n_sent += piece.size();
+        }
+        test_wait_for_close(fd);
+    });
+    struct world *world = make_world(engine.port, 1);
+    {
+        test_node node("n1", world);
+        std::string id =
+            create_job(node, model_line("stream") + model_line("plain"));
+        struct batch_request *job = wait_for(node, id, "completed");
+        EXPECT_EQ(count_of(job, "failed"), 2);
+        std::string errors = read_file(node, field_text(job, "error_file_id"));
+        EXPECT_NE(errors.find("answer_too_large"), std::string::npos);
+        batch_request_free(job);
+        EXPECT_LE(n_sent, (size_t)MAX_SENT);
+    }
+    world_unref(world);
+}
+
 /* A non-idempotent item whose response is lost may have run, so it fails and
  * is not sent again.  An item that the server refused without running it is
  * sent again. */
