Test that responses without end are closed by the front

Cause: operators of similar systems saw servers that send bytes without end; for the front no test played it.

Change: a test of six such responses, three of them a byte now and then.

--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -474,6 +474,62 @@
     EXPECT_EQ(ask(post("/a/x", "b")).status, 504);
 }
 
+/* The server sends bytes that are no answer until the front closes: without
+ * end, or one now and then, so that no limit of silence is reached. */
+TEST_F(Ingress, ResponsesWithoutEndAreClosed)
+{
+    enum { PIECE = 65536, MAX_SENT = 16 << 20, GIVES_UP = 64 << 20 };
+    struct {
+        const char *what;
+        std::string head; /* before the first piece */
+        std::string piece;
+        int64_t pause_us; /* between pieces */
+    } cases[] = {
+        {"no head", "", std::string(PIECE, 'x'), 0},
+        {"a head", "HTTP/1.1 200 OK\r\nx-a: ", std::string(PIECE, 'x'), 0},
+        {"an event",
+         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+         "\r\ndata: ",
+         std::string(PIECE, 'x'), 0},
+        {"a slow head", "HTTP/1.1 200 OK\r\nx-a: ", "x", 20000},
+        {"a slow event",
+         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ",
+         "x", 20000},
+        {"keep-alives, but no event",
+         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n",
+         ": x\n\n", 20000},
+    };
+
+    std::atomic<size_t> current{0};
+    std::atomic<size_t> n_sent{0};
+    struct test_server engine([&](int fd, const std::string &request) {
+        const auto &c = cases[current];
+        std::string head = c.head;
+        size_t line_end = head.find("\r\n");
+        if (line_end != std::string::npos) {
+            head.insert(line_end + 2,
+                        "x-id: " + test_header(request, "x-id") + "\r\n");
+        }
+        bool is_open = test_write(fd, head);
+        while (is_open && n_sent < GIVES_UP) {
+            is_open = test_write(fd, c.piece);
+            n_sent += c.piece.size();
+            g_usleep((gulong)c.pause_us);
+        }
+        test_wait_for_close(fd);
+    });
+
+    timeout_ms = 1000;
+    begin({&engine});
+    for (; current < G_N_ELEMENTS(cases); current++) {
+        n_sent = 0;
+        struct answer answer = ask(post("/a/x", "b"));
+        EXPECT_FALSE(answer.status < 500 && answer.is_complete)
+            << cases[current].what << " " << answer.status;
+        EXPECT_LE(n_sent, (size_t)MAX_SENT) << cases[current].what;
+    }
+}
+
 TEST_F(Ingress, AnswersPipelinedRequestsInOrder)
 {
     struct test_server engine(serve_stream);
