--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -5,8 +5,9 @@
 
 enum {
     DEFAULT_MAX_CRASHES = 3,
-    DEFAULT_SPACING_MS = 200, /* longer than a crash takes to be noticed by
-                                 all nodes, shorter than most servers start */
+    DEFAULT_SPACING_MS = 200, /* longer than a node takes to notice a cut on
+                                 all its connections, shorter than most
+                                 servers take to start */
     DEFAULT_BLOCK_MS = 10000,
     MAX_DOUBLINGS = 5, /* of the time for which a part is blocked */
     DEFAULT_RETRY_MS = 2000,
@@ -43,9 +44,8 @@
     int64_t crashed_ms;            /* last crash, as this node heard of it */
     int64_t noted_ms; /* last crash that this node counted itself */
     int64_t changed_ms;
-    struct recent recent[MAX_RECENT]; /* in the order of n_recent % MAX_RECENT
-                                       */
-    int n_recent;
+    struct recent recent[MAX_RECENT]; /* a ring */
+    int n_recent;                     /* ever added to it */
     int64_t tried_ms; /* last time this node admitted a try; 0: never */
     int rounds;       /* remaining rounds that take the entry */
 };
