Let all nodes know the request rate that a server names

Cause: responses of a server in need name the requests a second that it takes from all nodes together. No node read that, and no log line could tell whether limits are unknown, ignored or lost between owners.

Change: the new package notices keeps what servers say of themselves. Each response to a request or an item is noted (control_note_response); a lower limit counts at once, a higher one or none only if the request was sent after the present one was learned, since responses may overtake each other. A node that hears something new logs it (server.limit), tells the owner at once and all nodes in four rounds; answers to a new owner's queries and handovers carry it, and digests repair what is lost. A restarted server has no limit. Nothing acts on it yet.

The tests of the package and of both callers pass.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -64,6 +64,7 @@
         world_unref(control->world);
     }
     control->world = world;
+    control_notices_set_servers(control);
     forget_owners(control);
     control_rates_update(control);
     control->is_changed = true;
@@ -168,6 +169,7 @@
     control_leaving_tick(control);
     control_registry_tick(control);
     control_prompt_parts_tick(control);
+    control_notices_tick(control);
     control_retire_tick(control);
     apply_changes(control);
     control_owner_tick(control);
@@ -374,6 +376,7 @@
     control_loads_init(control);
     control_registry_init(control);
     control_prompt_parts_init(control);
+    control_notices_init(control);
     forget_owners(control);
     choose_watchers(control);
     control_retire_watch(control, true);
@@ -456,6 +459,7 @@
     control_loads_finish(control);
     control_registry_finish(control);
     control_prompt_parts_finish(control);
+    control_notices_finish(control);
     base_task_finish(&control->task);
     free_control(control);
 }
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -21,6 +21,7 @@
 #include "base/base.h"
 #include "contracts/contracts.h"
 #include "members/members.h"
+#include "notices/notices.h"
 #include "platform/platform.h"
 #include "quarantine/quarantine.h"
 #include "world/site.h"
@@ -79,6 +80,8 @@
     bool is_local_share;
     struct contracts_load load;
     struct contracts_reduction reduction;
+    /* Busy: in how many ms a request may be granted; 0: not known. */
+    int64_t retry_ms;
     /* What the owner knows of the deployment's other pools; owned by the
      * request, NULL: nothing. */
     struct control_pool_load *pools;
@@ -130,6 +133,12 @@
 void control_prompt_answered(struct control *control,
                              const struct quarantine_parts *parts);
 
+/* Notes what a response of a server, to a request sent at sent_ms, says of the
+ * server: the value of the header with its request limit, in requests a
+ * second, or NULL if the response has none.  Any thread. */
+void control_note_response(struct control *control, const char *server,
+                           const char *limit, int64_t sent_ms);
+
 /* Called on the control task whenever the configuration or the membership
  * changed; both are borrowed for the call.  world is NULL until there is a
  * configuration. */
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -23,6 +23,7 @@
  *   leaving.c        hosts that the platform is about to take away
  *   registry.c       servers that register themselves
  *   prompt_parts.c   parts of prompts that crash servers
+ *   server_notices.c what servers say of themselves in responses
  *   retire.c         emptying this node on the operator's request
  *   rates.c          operators' rate limits
  *   status.c         the state as JSON
@@ -60,6 +61,7 @@
     CONTROL_RECALLED,
     CONTROL_LOADS,
     CONTROL_PROMPT_PARTS,
+    CONTROL_SERVER_NOTICES,
     CONTROL_N_KINDS,
 };
 
@@ -162,6 +164,7 @@
     GHashTable *unreachable; /* owner to struct unreachable_owner */
     GQueue *recent;          /* queue of struct recent_release */
     GHashTable *local_shares; /* server name to number of local contracts */
+    GHashTable *local_uses;   /* limited server to struct local_use */
     GHashTable *admissions;   /* id to struct pending_admission */
     uint64_t next_admission;
     struct base_counter *local_counter;
@@ -236,6 +239,15 @@
     struct base_counter *refusals;
 };
 
+/* ---- server_notices.c ---- */
+
+struct control_server_notices {
+    GMutex lock; /* protects `notices`: any thread uses it */
+    struct notices notices;
+    int64_t next_round_ms;
+    struct base_counter *changes;
+};
+
 /* ---- retire.c ---- */
 
 struct control_retire {
@@ -298,6 +310,7 @@
     struct control_loads loads;
     struct control_registry registry;
     struct control_prompt_parts prompt_parts;
+    struct control_server_notices server_notices;
     struct control_retire retire;
     struct control_rates *rates;
 };
@@ -370,6 +383,7 @@
                                  struct control_owned_server *owned,
                                  const char *holder, size_t n_held,
                                  Control__Held *const *held);
+void control_owner_apply_limit(struct control *control, const char *server);
 void control_owner_server_report(struct control *control, const char *server,
                                  int running, int queued, int64_t age_ms);
 
@@ -486,6 +500,22 @@
 bool control_prompt_parts_receive(struct control *control,
                                   const struct wire_message *message);
 
+/* server_notices.c */
+void control_notices_init(struct control *control);
+void control_notices_finish(struct control *control);
+void control_notices_tick(struct control *control);
+void control_notices_set_servers(struct control *control);
+double control_server_limit(struct control *control, const char *server);
+uint64_t control_notices_digest(struct control *control);
+void control_notices_send_all(struct control *control, const char *address);
+bool control_notices_receive(struct control *control,
+                             const struct wire_message *message);
+bool control_notice_fill(struct control *control, const char *server,
+                         Control__ServerNotice *out);
+void control_notice_merge(struct control *control,
+                          const Control__ServerNotice *notice,
+                          const char *sender);
+
 /* retire.c */
 void control_retire_watch(struct control *control, bool is_on);
 void control_retire_tick(struct control *control);
--- a/packages/control/dispatch.c
+++ b/packages/control/dispatch.c
@@ -7,10 +7,11 @@
 control_kind_name(uint32_t kind)
 {
     static const char *const NAMES[] = {
-        "gossip",   "ask",      "answer",       "release",  "cancel",
-        "yield",    "report",   "audit",        "news",     "record_pull",
-        "record",   "rate_ask", "rate_answer",  "handover", "recall",
-        "recalled", "loads",    "prompt_parts",
+        "gossip",      "ask",          "answer",         "release",
+        "cancel",      "yield",        "report",         "audit",
+        "news",        "record_pull",  "record",         "rate_ask",
+        "rate_answer", "handover",     "recall",         "recalled",
+        "loads",       "prompt_parts", "server_notices",
     };
 
     G_STATIC_ASSERT(G_N_ELEMENTS(NAMES) == CONTROL_N_KINDS - WIRE_FIRST_KIND);
@@ -218,6 +219,7 @@
         [CONTROL_RECALL] = control_rebuild_receive,
         [CONTROL_LOADS] = control_loads_receive,
         [CONTROL_PROMPT_PARTS] = control_prompt_parts_receive,
+        [CONTROL_SERVER_NOTICES] = control_notices_receive,
     };
     struct control *control = context;
     bool is_known = message->kind < CONTROL_N_KINDS &&
--- a/packages/control/handover.c
+++ b/packages/control/handover.c
@@ -88,6 +88,7 @@
 control_handover_send(struct control *control, const char *server)
 {
     Control__Handover handover = CONTROL__HANDOVER__INIT;
+    Control__ServerNotice notice;
     int index = world_find_server(control->world, server);
     int owner = control_owner_of(control, index);
     GPtrArray *holders;
@@ -108,6 +109,9 @@
     handover.server = (char *)server;
     handover.n_holders = holders->len;
     handover.holders = (Control__HandedHolder **)holders->pdata;
+    if (control_notice_fill(control, server, &notice)) {
+        handover.notice = &notice;
+    }
     control_send(control, control_node_address(control, owner),
                  CONTROL_HANDOVER, &handover.base, 0);
     g_ptr_array_free(holders, TRUE);
@@ -146,6 +150,9 @@
         control__handover__free_unpacked(received, NULL);
         return false;
     }
+    if (received->notice != NULL) {
+        control_notice_merge(control, received->notice, message->sender);
+    }
     handover = g_new0(struct handover, 1);
     handover->message = received;
     handover->expires_at_ms = control->now_ms + RETENTION_MS;
--- a/packages/control/leaving.c
+++ b/packages/control/leaving.c
@@ -236,13 +236,15 @@
     }
 }
 
-/* Returns the digest of leaving hosts, registered servers and blocked parts of
- * prompts.  Nodes with equal digests have the same entries. */
+/* Returns the digest of leaving hosts, registered servers, blocked parts of
+ * prompts and what servers said of themselves.  Nodes with equal digests have
+ * the same entries. */
 uint64_t
 control_leaving_digest(struct control *control)
 {
     return control->leaving.digest + control->registry.digest +
-           control_prompt_parts_digest(control);
+           control_prompt_parts_digest(control) +
+           control_notices_digest(control);
 }
 
 /* Compares the digest that a peer sent with a membership message with this
@@ -256,7 +258,8 @@
 
     bool is_empty = g_hash_table_size(control->leaving.entries) == 0 &&
                     g_hash_table_size(control->registry.entries) == 0 &&
-                    control_prompt_parts_digest(control) == 0;
+                    control_prompt_parts_digest(control) == 0 &&
+                    control_notices_digest(control) == 0;
 
     if (digest == control_leaving_digest(control) || address[0] == '\0' ||
         control->now_ms < control->leaving.next_full_update_ms || is_empty) {
@@ -267,6 +270,7 @@
     control_send(control, address, CONTROL_NEWS, &update.base, 0);
     free_update(&update);
     control_prompt_parts_send_all(control, address);
+    control_notices_send_all(control, address);
 }
 
 /* ---- the platform's list of hosts ---- */
--- a/packages/control/rebuild.c
+++ b/packages/control/rebuild.c
@@ -67,6 +67,9 @@
     for (size_t i = 0; recalled != NULL && i < recalled->n_reports; i++) {
         control_owner_report(control, holder, recalled->reports[i]);
     }
+    for (size_t i = 0; recalled != NULL && i < recalled->n_notices; i++) {
+        control_notice_merge(control, recalled->notices[i], holder);
+    }
     control__recalled__free_unpacked(recalled, NULL);
 }
 
@@ -294,8 +297,11 @@
              const struct wire_return *back)
 {
     Control__Recalled out = CONTROL__RECALLED__INIT;
+    Control__ServerNotice *notices =
+        g_new(Control__ServerNotice, query->n_servers + 1);
 
     out.reports = g_new0(Control__Report *, query->n_servers + 1);
+    out.notices = g_new0(Control__ServerNotice *, query->n_servers + 1);
     for (size_t i = 0; i < query->n_servers; i++) {
         Control__Report *report = build_report(control, query->servers[i]);
         if (report->n_held > 0) {
@@ -304,8 +310,15 @@
         else {
             free_report(report);
         }
+        if (control_notice_fill(control, query->servers[i],
+                                &notices[out.n_notices])) {
+            out.notices[out.n_notices] = &notices[out.n_notices];
+            out.n_notices++;
+        }
     }
     control_reply(control, back, CONTROL_RECALLED, &out.base);
+    g_free(out.notices);
+    g_free(notices);
     for (size_t i = 0; i < out.n_reports; i++) {
         free_report(out.reports[i]);
     }
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -399,11 +399,32 @@
     try_next_server(attempt);
 }
 
+/* Passes on what the response says of its server, unless another one sent
+ * it. */
+static void
+note_response(const struct attempt *attempt, int status)
+{
+    const struct front_protocol *protocol = attempt->exchange->protocol;
+    struct front *front = attempt->front;
+    char limit[32];
+    bool has_limit;
+
+    if (protocol == NULL || protocol->request_limit == NULL ||
+        status == protocol->misdirected_status) {
+        return;
+    }
+    has_limit = backends_header(&front->backends, attempt->call,
+                                protocol->request_limit, limit, sizeof(limit));
+    control_note_response(front->control, attempt->server_name,
+                          has_limit ? limit : NULL, attempt->sent_us / 1000);
+}
+
 static void
 on_head(void *context, int status, const char *content_type)
 {
     struct attempt *attempt = context;
 
+    note_response(attempt, status);
     attempt->status = status;
     g_strlcpy(attempt->content_type, content_type,
               sizeof(attempt->content_type));
--- a/packages/front/protocol.h
+++ b/packages/front/protocol.h
@@ -46,6 +46,8 @@
     const char *wait_ms;         /* maximum delay of a read of job results */
     /* response headers */
     const char *refused_not_run; /* the server did not run the request */
+    const char *request_limit; /* requests a second that the server takes from
+                                  all nodes together; NULL: none say so */
     const char *const *relayed_headers; /* copied to the caller unchanged;
                                            ends with NULL */
     int misdirected_status; /* status from a server that is not the expected
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -49,6 +49,7 @@
     protocol.last_event_id = "last-event-id";
     protocol.wait_ms = "x-wait-ms";
     protocol.refused_not_run = "x-refused";
+    protocol.request_limit = "x-limit";
     protocol.relayed_headers = RELAYED_HEADERS;
     protocol.misdirected_status = 421;
     protocol.find_call = find_call;
@@ -223,6 +224,42 @@
     EXPECT_EQ(seen.substr(seen.find("\r\n\r\n") + 4), "body");
 }
 
+TEST_F(Ingress, LimitsThatServersNameAreNoted)
+{
+    static const struct {
+        const char *head;
+        const char *noted; /* NULL: nothing */
+    } CASES[] = {
+        {"HTTP/1.1 200 OK\r\nx-limit: 2.5\r\n", "2.5"},
+        {"HTTP/1.1 200 OK\r\n", "-"},
+        {"HTTP/1.1 503 Busy\r\nx-refused: 1\r\nx-limit: 1\r\n", "1"},
+        {"HTTP/1.1 500 Failed\r\nx-limit: 3\r\n", "3"},
+        /* another server's answer */
+        {"HTTP/1.1 421 Misdirected\r\nx-limit: 9\r\n", nullptr},
+    };
+    const char *head = nullptr;
+    struct test_server engine([&](int fd, const std::string &request) {
+        test_write(fd, std::string(head) +
+                           "x-id: " + test_header(request, "x-id") +
+                           "\r\ncontent-length: 0\r\n\r\n");
+    });
+
+    max_attempts = 1;
+    begin({&engine});
+    for (const auto &c : CASES) {
+        head = c.head;
+        fakes.responses.clear();
+        ask(post("/a/x", "body", ""));
+        if (c.noted == nullptr) {
+            EXPECT_TRUE(fakes.responses.empty()) << c.head;
+            continue;
+        }
+        ASSERT_FALSE(fakes.responses.empty()) << c.head;
+        EXPECT_EQ(fakes.responses[0].first, "e1");
+        EXPECT_EQ(fakes.responses[0].second, c.noted);
+    }
+}
+
 TEST_F(Ingress, ForwardsAChunkedRequestBody)
 {
     std::string seen;
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -157,6 +157,14 @@
                            fakes.prompts.now_ms);
 }
 
+void
+control_note_response(struct control *control, const char *server,
+                      const char *limit, int64_t sent_ms)
+{
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    fakes.responses.emplace_back(server, limit != nullptr ? limit : "-");
+}
+
 bool
 control_rate_allow(struct control *control, const char *operator_name,
                    int count)
@@ -353,6 +361,7 @@
     fakes.held.clear();
     fakes.released.clear();
     fakes.late_first_token_us.clear();
+    fakes.responses.clear();
     fakes.n_bad_releases = 0;
     fakes.delays_admissions = false;
     fakes.delayed_admissions.clear();
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -181,11 +181,32 @@
            !is_complete_output(work, result);
 }
 
+/* Passes on what the response says of its server, unless another one sent
+ * it. */
+static void
+note_response(const struct jobs_work *work, int status)
+{
+    struct jobs *jobs = work->run->jobs;
+    char limit[32];
+    bool has_limit;
+
+    if (jobs->names.request_limit == NULL ||
+        status == jobs->names.misdirected_status) {
+        return;
+    }
+    has_limit =
+        backends_header(&jobs->backends, work->call, jobs->names.request_limit,
+                        limit, sizeof(limit));
+    control_note_response(jobs->control, work->server_name,
+                          has_limit ? limit : NULL, work->sent_at_us / 1000);
+}
+
 static void
 on_head(void *context, int status, const char *content_type)
 {
     struct jobs_work *work = context;
 
+    note_response(work, status);
     work->status = status;
     work->is_stream = status == STATUS_OK &&
                       g_str_has_prefix(content_type, "text/event-stream");
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -152,6 +152,9 @@
     /* HTTP status with which a server responds that it is not the expected
      * one; the item did not run */
     int misdirected_status;
+    /* requests a second that the server takes from all nodes together; NULL:
+     * none say so */
+    const char *request_limit;
 };
 
 struct jobs_desc {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -30,6 +30,7 @@
 
 struct fake {
     std::mutex lock;
+    std::set<std::string> limits; /* of responses; "-": none */
     std::map<std::string, stored> records;
     std::set<int64_t> leases;
     int64_t revision = 10;
@@ -380,6 +381,14 @@
     std::lock_guard<std::mutex> guard(fake->lock);
     EXPECT_EQ(fake->held.erase(contract), 1u) << "contract released twice";
 }
+
+void
+control_note_response(struct control *control, const char *server,
+                      const char *limit, int64_t sent_ms)
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    fake->limits.insert(limit != nullptr ? limit : "-");
+}
 }
 
 namespace {
@@ -563,7 +572,8 @@
         desc.zone = "z";
         desc.counters = &site.counters;
         desc.platform = (struct platform *)&link;
-        desc.names = {"x-id", "x-server", "last-id", "x-refused", 421};
+        desc.names = {"x-id",      "x-server", "last-id",
+                      "x-refused", 421,        "x-limit"};
         desc.decode = decode;
         desc.lease_ms = 600;
         desc.life = (int64_t)member().life;
@@ -955,6 +965,20 @@
     }
 }
 
+TEST(Jobs, LimitsThatServersNameAreNoted)
+{
+    Site site([&](int fd, const std::string &request) {
+        test_write(fd, "HTTP/1.1 422 No\r\nx-limit: 2.5\r\nx-id: " +
+                           test_header(request, "x-id") +
+                           "\r\ncontent-length: 0\r\n\r\n");
+    });
+    Node node(site, "n1");
+
+    ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+    node.wait_for("j", 1);
+    EXPECT_EQ(site.store.limits, std::set<std::string>{"2.5"});
+}
+
 /* The engine closes the connection within the third event. */
 TEST(Jobs, ABrokenStreamResumesAfterItsLastCompleteEvent)
 {
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -225,6 +225,7 @@
                   .expected_server = protocol->expected_server,
                   .last_event_id = protocol->last_event_id,
                   .refused_not_run = protocol->refused_not_run,
+                  .request_limit = protocol->request_limit,
                   .misdirected_status = protocol->misdirected_status},
         .decode = protocol->decode_job,
         .read_parts = protocol->read_parts,
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -952,6 +952,96 @@
   assert(message->base.descriptor == &control__recalled__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__server_notice__init
+                     (Control__ServerNotice         *message)
+{
+  static const Control__ServerNotice init_value = CONTROL__SERVER_NOTICE__INIT;
+  *message = init_value;
+}
+size_t control__server_notice__get_packed_size
+                     (const Control__ServerNotice *message)
+{
+  assert(message->base.descriptor == &control__server_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__server_notice__pack
+                     (const Control__ServerNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__server_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__server_notice__pack_to_buffer
+                     (const Control__ServerNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__server_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__ServerNotice *
+       control__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__ServerNotice *)
+     protobuf_c_message_unpack (&control__server_notice__descriptor,
+                                allocator, len, data);
+}
+void   control__server_notice__free_unpacked
+                     (Control__ServerNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__server_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   control__server_notices__init
+                     (Control__ServerNotices         *message)
+{
+  static const Control__ServerNotices init_value = CONTROL__SERVER_NOTICES__INIT;
+  *message = init_value;
+}
+size_t control__server_notices__get_packed_size
+                     (const Control__ServerNotices *message)
+{
+  assert(message->base.descriptor == &control__server_notices__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__server_notices__pack
+                     (const Control__ServerNotices *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__server_notices__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__server_notices__pack_to_buffer
+                     (const Control__ServerNotices *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__server_notices__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__ServerNotices *
+       control__server_notices__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__ServerNotices *)
+     protobuf_c_message_unpack (&control__server_notices__descriptor,
+                                allocator, len, data);
+}
+void   control__server_notices__free_unpacked
+                     (Control__ServerNotices *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__server_notices__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__record_pull__init
                      (Control__RecordPull         *message)
 {
@@ -1803,7 +1893,7 @@
   (ProtobufCMessageInit) control__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__answer__field_descriptors[13] =
+static const ProtobufCFieldDescriptor control__answer__field_descriptors[14] =
 {
   {
     "answer",
@@ -1961,6 +2051,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Answer, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__answer__field_indices_by_name[] = {
   0,   /* field[0] = answer */
@@ -1972,6 +2074,7 @@
   8,   /* field[8] = queued */
   9,   /* field[9] = reduction */
   10,   /* field[10] = reduction_ms */
+  13,   /* field[13] = retry_ms */
   11,   /* field[11] = server */
   3,   /* field[3] = slots */
   4,   /* field[4] = term_ms */
@@ -1980,7 +2083,7 @@
 static const ProtobufCIntRange control__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor control__answer__descriptor =
 {
@@ -1990,7 +2093,7 @@
   "Control__Answer",
   "control",
   sizeof(Control__Answer),
-  13,
+  14,
   control__answer__field_descriptors,
   control__answer__field_indices_by_name,
   1,  control__answer__number_ranges,
@@ -2586,7 +2689,7 @@
   (ProtobufCMessageInit) control__handed_holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__handover__field_descriptors[2] =
+static const ProtobufCFieldDescriptor control__handover__field_descriptors[3] =
 {
   {
     "server",
@@ -2612,15 +2715,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "notice",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Control__Handover, notice),
+    &control__server_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__handover__field_indices_by_name[] = {
   1,   /* field[1] = holders */
+  2,   /* field[2] = notice */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange control__handover__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor control__handover__descriptor =
 {
@@ -2630,7 +2746,7 @@
   "Control__Handover",
   "control",
   sizeof(Control__Handover),
-  2,
+  3,
   control__handover__field_descriptors,
   control__handover__field_indices_by_name,
   1,  control__handover__number_ranges,
@@ -2970,7 +3086,7 @@
   (ProtobufCMessageInit) control__recall__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__recalled__field_descriptors[1] =
+static const ProtobufCFieldDescriptor control__recalled__field_descriptors[2] =
 {
   {
     "reports",
@@ -2984,14 +3100,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "notices",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__Recalled, n_notices),
+    offsetof(Control__Recalled, notices),
+    &control__server_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__recalled__field_indices_by_name[] = {
+  1,   /* field[1] = notices */
   0,   /* field[0] = reports */
 };
 static const ProtobufCIntRange control__recalled__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor control__recalled__descriptor =
 {
@@ -3001,13 +3130,128 @@
   "Control__Recalled",
   "control",
   sizeof(Control__Recalled),
-  1,
+  2,
   control__recalled__field_descriptors,
   control__recalled__field_indices_by_name,
   1,  control__recalled__number_ranges,
   (ProtobufCMessageInit) control__recalled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor control__server_notice__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__ServerNotice, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__ServerNotice, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__ServerNotice, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Control__ServerNotice, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__server_notice__field_indices_by_name[] = {
+  3,   /* field[3] = limit_per_s */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange control__server_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor control__server_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.ServerNotice",
+  "ServerNotice",
+  "Control__ServerNotice",
+  "control",
+  sizeof(Control__ServerNotice),
+  4,
+  control__server_notice__field_descriptors,
+  control__server_notice__field_indices_by_name,
+  1,  control__server_notice__number_ranges,
+  (ProtobufCMessageInit) control__server_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__server_notices__field_descriptors[1] =
+{
+  {
+    "notices",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__ServerNotices, n_notices),
+    offsetof(Control__ServerNotices, notices),
+    &control__server_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__server_notices__field_indices_by_name[] = {
+  0,   /* field[0] = notices */
+};
+static const ProtobufCIntRange control__server_notices__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor control__server_notices__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.ServerNotices",
+  "ServerNotices",
+  "Control__ServerNotices",
+  "control",
+  sizeof(Control__ServerNotices),
+  1,
+  control__server_notices__field_descriptors,
+  control__server_notices__field_indices_by_name,
+  1,  control__server_notices__number_ranges,
+  (ProtobufCMessageInit) control__server_notices__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor control__record_pull__field_descriptors[1] =
 {
   {
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -36,6 +36,8 @@
 typedef struct Control__News Control__News;
 typedef struct Control__Recall Control__Recall;
 typedef struct Control__Recalled Control__Recalled;
+typedef struct Control__ServerNotice Control__ServerNotice;
+typedef struct Control__ServerNotices Control__ServerNotices;
 typedef struct Control__RecordPull Control__RecordPull;
 typedef struct Control__Record Control__Record;
 typedef struct Control__RateAsk Control__RateAsk;
@@ -179,10 +181,14 @@
    */
   size_t n_pools;
   Control__PoolLoad **pools;
+  /*
+   * busy: when a request may be granted; 0: unknown 
+   */
+  int64_t retry_ms;
 };
 #define CONTROL__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
@@ -328,10 +334,11 @@
   char *server;
   size_t n_holders;
   Control__HandedHolder **holders;
+  Control__ServerNotice *notice;
 };
 #define CONTROL__HANDOVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__handover__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, NULL }
 
 
 /*
@@ -431,9 +438,44 @@
   ProtobufCMessage base;
   size_t n_reports;
   Control__Report **reports;
+  /*
+   * of the queried servers 
+   */
+  size_t n_notices;
+  Control__ServerNotice **notices;
 };
 #define CONTROL__RECALLED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__recalled__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * What a server said of itself in its responses; see packages/notices. 
+ */
+struct  Control__ServerNotice
+{
+  ProtobufCMessage base;
+  char *server;
+  int64_t started_ms;
+  uint64_t version;
+  /*
+   * infinite: no limit 
+   */
+  double limit_per_s;
+};
+#define CONTROL__SERVER_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__server_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Control__ServerNotices
+{
+  ProtobufCMessage base;
+  size_t n_notices;
+  Control__ServerNotice **notices;
+};
+#define CONTROL__SERVER_NOTICES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__server_notices__descriptor) \
     , 0,NULL }
 
 
@@ -929,6 +971,44 @@
 void   control__recalled__free_unpacked
                      (Control__Recalled *message,
                       ProtobufCAllocator *allocator);
+/* Control__ServerNotice methods */
+void   control__server_notice__init
+                     (Control__ServerNotice         *message);
+size_t control__server_notice__get_packed_size
+                     (const Control__ServerNotice   *message);
+size_t control__server_notice__pack
+                     (const Control__ServerNotice   *message,
+                      uint8_t             *out);
+size_t control__server_notice__pack_to_buffer
+                     (const Control__ServerNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Control__ServerNotice *
+       control__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__server_notice__free_unpacked
+                     (Control__ServerNotice *message,
+                      ProtobufCAllocator *allocator);
+/* Control__ServerNotices methods */
+void   control__server_notices__init
+                     (Control__ServerNotices         *message);
+size_t control__server_notices__get_packed_size
+                     (const Control__ServerNotices   *message);
+size_t control__server_notices__pack
+                     (const Control__ServerNotices   *message,
+                      uint8_t             *out);
+size_t control__server_notices__pack_to_buffer
+                     (const Control__ServerNotices   *message,
+                      ProtobufCBuffer     *buffer);
+Control__ServerNotices *
+       control__server_notices__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__server_notices__free_unpacked
+                     (Control__ServerNotices *message,
+                      ProtobufCAllocator *allocator);
 /* Control__RecordPull methods */
 void   control__record_pull__init
                      (Control__RecordPull         *message);
@@ -1108,6 +1188,12 @@
 typedef void (*Control__Recalled_Closure)
                  (const Control__Recalled *message,
                   void *closure_data);
+typedef void (*Control__ServerNotice_Closure)
+                 (const Control__ServerNotice *message,
+                  void *closure_data);
+typedef void (*Control__ServerNotices_Closure)
+                 (const Control__ServerNotices *message,
+                  void *closure_data);
 typedef void (*Control__RecordPull_Closure)
                  (const Control__RecordPull *message,
                   void *closure_data);
@@ -1153,6 +1239,8 @@
 extern const ProtobufCMessageDescriptor control__news__descriptor;
 extern const ProtobufCMessageDescriptor control__recall__descriptor;
 extern const ProtobufCMessageDescriptor control__recalled__descriptor;
+extern const ProtobufCMessageDescriptor control__server_notice__descriptor;
+extern const ProtobufCMessageDescriptor control__server_notices__descriptor;
 extern const ProtobufCMessageDescriptor control__record_pull__descriptor;
 extern const ProtobufCMessageDescriptor control__record__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_ask__descriptor;
--- a/packages/world/site.c
+++ b/packages/world/site.c
@@ -214,6 +214,7 @@
     server->zone = add_zone(world, from->zone, from->zone);
     server->deployment = deployment;
     server->slots = MAX(from->slots, 1);
+    server->started_ms = from->started_ms;
     server->can_resume = true;
     target->servers = g_renew(int, target->servers, target->n_servers + 1);
     target->servers[target->n_servers++] = world->n_servers++;
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -146,6 +146,7 @@
     int deployment;
     int pool;            /* index in the world's pools */
     int slots;           /* largest number of concurrent requests */
+    int64_t started_ms;  /* wall clock; 0: unknown */
     bool checks_fencing; /* refuses deployment orders that are outdated */
     bool can_resume;     /* can continue an interrupted response */
 };
