Keep the requests that owners grant to the rate that servers named

Cause: owners granted by free slots alone, and nodes by their local share. The class: a limit that only one side of a protocol knows.

Change: contracts/pace.c, a token bucket in each server's admission controller. All ways to a server pass it: online, batch, queued and renewed grants. A new owner starts without tokens. A node whose owner is unreachable sends at most limit / nodes requests in 4 s from its local share, so that all of them together stay at half of the limit. Batch leaves the next token to online, and is not preempted where a free slot would not help. The load that pools report excludes servers without tokens, so that requests go to the others. Where limits bind, a request that would be late when its turn comes is refused at once, with the time until the queue has been served as retry-after, after it has tried the other pools.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -17,6 +17,8 @@
 #ifndef CARDAMOM_CONTRACTS_H
 #define CARDAMOM_CONTRACTS_H
 
+#include <math.h>
+
 #include "base/base.h"
 #include "members/members.h"
 #include "world/world.h"
@@ -122,6 +124,7 @@
     int64_t term_ms;
     struct contracts_load load;
     struct contracts_reduction reduction;
+    int64_t retry_ms; /* busy: when a request may be granted; 0: unknown */
 };
 
 struct contracts_controller_desc {
@@ -189,6 +192,10 @@
                                  const char *holder, uint64_t contract_id,
                                  enum contracts_class class_, int slots,
                                  int64_t now_ms, GArray *out);
+/* Sets the requests a second that the server takes, as it named them itself;
+ * INFINITY: any number.  Grants keep to that rate. */
+void contracts_controller_set_limit(struct contracts_controller *controller,
+                                    double per_s, int64_t now_ms, GArray *out);
 /* Ends the provisional limit early, because all holders have reported. */
 void contracts_controller_rebuilt(struct contracts_controller *controller);
 /* Ends the contracts of a dead node and drops its admission requests. */
@@ -223,6 +230,15 @@
  * is full: the server runs only online requests, as many as it has slots. */
 bool
 contracts_controller_may_queue(const struct contracts_controller *controller);
+/* Returns the requests a second that the server gets; INFINITY: any number. */
+double
+contracts_controller_rate(const struct contracts_controller *controller);
+/* Returns whether the server has named a limit and may get no request now. */
+bool
+contracts_controller_is_closed(const struct contracts_controller *controller);
+/* Returns the batch slots whose preemption would let online requests run. */
+int contracts_controller_preemptible(
+    const struct contracts_controller *controller);
 /* Returns the batch slots that are preempted but not released yet. */
 int
 contracts_controller_preempting(const struct contracts_controller *controller);
@@ -246,6 +262,10 @@
 /* Returns how many online requests each of n_nodes may run on such a server
  * without a contract. */
 int contracts_local_share(int slots, int n_nodes);
+/* Returns how many requests each of n_nodes may send in CONTRACTS_LOCAL_MS to
+ * such a server if it has named a limit. */
+enum { CONTRACTS_LOCAL_MS = 4000 };
+int contracts_local_limit(double limit_per_s, int n_nodes);
 
 #ifdef __cplusplus
 }
--- a/packages/contracts/controller.c
+++ b/packages/contracts/controller.c
@@ -23,8 +23,8 @@
            controller->held[CONTRACTS_ONLINE_LONG];
 }
 
-/* Returns how many slots of the window may be granted now, within the
- * provisional limit while rebuilding. */
+/* Returns how many slots of the window may be granted now, within the rate
+ * that the server named, and the provisional limit while rebuilding. */
 int
 controller_free_slots(const struct contracts_controller *controller)
 {
@@ -36,7 +36,14 @@
         int share = MAX(controller->desc.slots / REBUILD_DIVISOR, 1);
         free_slots = MIN(free_slots, share - controller->provisional_held);
     }
-    return MAX(free_slots, 0);
+    return CLAMP(free_slots, 0, pace_room(&controller->pace));
+}
+
+/* Returns whether the server has named a limit and may get no request now. */
+bool
+contracts_controller_is_closed(const struct contracts_controller *controller)
+{
+    return pace_room(&controller->pace) == 0;
 }
 
 /* Returns how many more long online requests may run. */
@@ -59,8 +66,9 @@
 }
 
 /* Returns the window that is reported to holders.  It is 1 in a long stall, so
- * that they prefer other servers.  While rebuilding it is the sum of the slots
- * held and those that may still be granted. */
+ * that they prefer other servers.  While rebuilding, or if the server has
+ * named a limit, it is the sum of the slots held and those that may be
+ * granted. */
 static int
 reported_window(const struct contracts_controller *controller)
 {
@@ -70,7 +78,8 @@
     if (stall_is_long(&controller->stall)) {
         return 1;
     }
-    if (controller->rebuild_until_ms != 0) {
+    if (controller->rebuild_until_ms != 0 ||
+        pace_is_limited(&controller->pace)) {
         return MAX(held + controller_free_slots(controller), 1);
     }
     return window_size(&controller->window);
@@ -215,6 +224,7 @@
         contract->is_provisional = true;
         controller->provisional_held++;
     }
+    pace_take(&controller->pace, 1);
     overload_record_grant(&controller->overload);
     stall_record_grant(&controller->stall, now_ms);
     controller_answer(controller, admission, CONTRACTS_GRANTED, contract,
@@ -257,11 +267,29 @@
     int window = window_size(&controller->window);
 
     return !controller->is_leaving && controller->rebuild_until_ms == 0 &&
-           !controller->stall.is_active && window == controller->desc.slots &&
+           !controller->stall.is_active &&
+           !contracts_controller_is_closed(controller) &&
+           window == controller->desc.slots &&
            controller->held[CONTRACTS_BATCH] == 0 &&
            controller_online_held(controller) == window;
 }
 
+/* See the header. */
+double
+contracts_controller_rate(const struct contracts_controller *controller)
+{
+    return controller->is_leaving ? 0 : pace_rate(&controller->pace);
+}
+
+/* See the header. */
+int
+contracts_controller_preemptible(const struct contracts_controller *controller)
+{
+    return contracts_controller_is_closed(controller)
+               ? 0
+               : controller->held[CONTRACTS_BATCH];
+}
+
 /* See the header. */
 int
 contracts_controller_preempting(const struct contracts_controller *controller)
@@ -285,6 +313,7 @@
 controller_serve(struct contracts_controller *controller, int64_t now_ms,
                  GArray *out)
 {
+    pace_advance(&controller->pace, now_ms);
     while (!controller->is_leaving && controller_free_slots(controller) > 0) {
         struct queue_entry *entry = queue_pop(
             &controller->queue, controller_long_room(controller) > 0, now_ms);
@@ -358,7 +387,8 @@
 may_preempt_for_online(const struct contracts_controller *controller)
 {
     return controller->desc.batch_fills && controller->rebuild_until_ms == 0 &&
-           controller->held[CONTRACTS_BATCH] > queue_count(&controller->queue);
+           contracts_controller_preemptible(controller) >
+               queue_count(&controller->queue);
 }
 
 static void
@@ -371,6 +401,7 @@
     bool has_room = admission->class_ == CONTRACTS_ONLINE_SHORT ||
                     controller_long_room(controller) > 0;
 
+    pace_advance(&controller->pace, now_ms);
     overload_record_admission(&controller->overload, admission);
     if (admission->wait_ms <= 0 && stall_refuses(&controller->stall, now_ms)) {
         controller_answer(controller, admission, CONTRACTS_BUSY, NULL, now_ms,
--- a/packages/contracts/controller.h
+++ b/packages/contracts/controller.h
@@ -8,13 +8,14 @@
  *   controller_lifecycle.c  makes, rebuilds, drains and frees a controller,
  *                           and has its regular tick
  *
- * queue.h, overload.h, reserve.h, stall.h and window.h hold its parts.
+ * queue.h, overload.h, pace.h, reserve.h, stall.h and window.h hold its parts.
  */
 #ifndef CARDAMOM_CONTRACTS_CONTROLLER_H
 #define CARDAMOM_CONTRACTS_CONTROLLER_H
 
 #include "contracts/contracts.h"
 #include "contracts/overload.h"
+#include "contracts/pace.h"
 #include "contracts/queue.h"
 #include "contracts/reserve.h"
 #include "contracts/stall.h"
@@ -41,6 +42,7 @@
     struct reserve reserve;
     struct overload overload;
     struct stall stall;
+    struct pace pace;
     struct queue queue;            /* online admission requests */
     GQueue batch_admissions;       /* of struct queue_entry, by due time */
     GHashTable *contracts;         /* id to struct contract */
--- a/packages/contracts/controller_batch.c
+++ b/packages/contracts/controller_batch.c
@@ -34,6 +34,7 @@
     int room = MIN(free_slots,
                    batch_cap(controller) - controller->held[CONTRACTS_BATCH]);
 
+    room = MIN(room, pace_batch_room(&controller->pace));
     if (controller->is_leaving || controller->rebuild_until_ms != 0 ||
         controller->preempting > 0 || controller->wanted > 0 ||
         controller_count_eligible(controller) > 0) {
@@ -92,6 +93,7 @@
     if (admission->slots < remaining) {
         controller_set_slots(controller, contract, admission->slots);
     }
+    pace_take(&controller->pace, added);
     contract->slots += added;
     controller->held[CONTRACTS_BATCH] += added;
     contract->expires_ms = now_ms + admission->term_ms;
@@ -120,6 +122,7 @@
         contract = controller_add(controller, controller_next_id(controller),
                                   admission->holder, CONTRACTS_BATCH,
                                   MIN(room, admission->slots), now_ms);
+        pace_take(&controller->pace, contract->slots);
         contract->expires_ms = now_ms + admission->term_ms;
         contract->due_ms = due_of(admission, now_ms);
     }
@@ -254,11 +257,15 @@
 contracts_controller_victim_due(const struct contracts_controller *controller,
                                 int n)
 {
-    GPtrArray *victims = g_ptr_array_new();
+    GPtrArray *victims;
     int64_t due_ms = -1;
     struct contract *contract;
     GHashTableIter iter;
 
+    if (contracts_controller_is_closed(controller)) {
+        return -1;
+    }
+    victims = g_ptr_array_new();
     g_hash_table_iter_init(&iter, controller->contracts);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&contract)) {
         if (contract->kind == CONTRACTS_BATCH &&
@@ -298,9 +305,12 @@
 excess_slots(const struct contracts_controller *controller)
 {
     int batch = controller->held[CONTRACTS_BATCH];
+    /* Those that wait for the server's rate gain nothing by a free slot. */
+    int n_waiting =
+        MIN(controller_count_eligible(controller) + controller->wanted,
+            pace_room(&controller->pace));
     int room = window_size(&controller->window) -
-               controller_online_held(controller) -
-               controller_count_eligible(controller) - controller->wanted -
+               controller_online_held(controller) - n_waiting -
                reserved_slots(controller);
 
     if (controller->is_leaving) {
--- a/packages/contracts/controller_lifecycle.c
+++ b/packages/contracts/controller_lifecycle.c
@@ -32,6 +32,7 @@
     reserve_init(&controller->reserve, desc->now_ms);
     overload_init(&controller->overload, desc->now_ms);
     stall_init(&controller->stall);
+    pace_init(&controller->pace);
     if (desc->is_rebuilding) {
         controller->rebuild_until_ms = desc->now_ms + REBUILD_MS;
     }
@@ -64,6 +65,18 @@
                   desc->first_token_target_ms, desc->inter_token_target_ms);
 }
 
+/* See the header. */
+void
+contracts_controller_set_limit(struct contracts_controller *controller,
+                               double per_s, int64_t now_ms, GArray *out)
+{
+    if (per_s == controller->pace.limit_per_s) {
+        return;
+    }
+    pace_set(&controller->pace, per_s, now_ms);
+    controller_serve(controller, now_ms, out);
+}
+
 /* Ends the provisional limit, as all holders have reported. */
 void
 contracts_controller_rebuilt(struct contracts_controller *controller)
@@ -190,6 +203,7 @@
     int held =
         controller_online_held(controller) + controller->held[CONTRACTS_BATCH];
 
+    pace_advance(&controller->pace, now_ms);
     if (controller->rebuild_until_ms != 0 &&
         now_ms >= controller->rebuild_until_ms) {
         contracts_controller_rebuilt(controller);
--- a/packages/contracts/owner.c
+++ b/packages/contracts/owner.c
@@ -107,3 +107,18 @@
 
     return MAX(share, 1);
 }
+
+/* Returns how many requests one of n_nodes may send in each CONTRACTS_LOCAL_MS
+ * to a server that has named a limit, while its owner is unreachable.  In any
+ * CONTRACTS_LOCAL_MS all nodes together then send at most half of what the
+ * limit allows, since two such periods overlap it; the owner may be granting
+ * to other nodes meanwhile. */
+int
+contracts_local_limit(double limit_per_s, int n_nodes)
+{
+    double period_s = CONTRACTS_LOCAL_MS / 1000.0;
+    double share =
+        limit_per_s * period_s / 2 / LOCAL_SHARE_DIVISOR / MAX(n_nodes, 1);
+
+    return (int)MIN(share, (double)INT32_MAX);
+}
--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -1,5 +1,6 @@
 #include "contracts/pool.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "contracts/overload.h"
@@ -14,6 +15,7 @@
      * holder may be in another region, and the server notices a closed stream
      * only after some ms. */
     PREEMPT_WAIT_MS = 150,
+    MS_PER_S = 1000,
 };
 
 struct pool_server {
@@ -98,14 +100,54 @@
         const struct pool_server *server = pool->servers->pdata[i];
         struct contracts_load own;
         contracts_controller_load(server->controller, &own);
-        load->window += own.window;
+        /* A server that may get no request now adds nothing. */
+        load->window += contracts_controller_is_closed(server->controller)
+                            ? own.online + own.batch
+                            : own.window;
         load->online += own.online;
         load->batch += own.batch;
         load->queued += own.queued;
     }
+    load->window = MAX(load->window, 1);
     load->queued += queue_count(&pool->queue);
 }
 
+/* Returns the online requests a second that the servers take, if some of them
+ * have named limits: the sum of the limits or, if others have none, the rate
+ * of grants in an overload.  0: none has, or the rate is not known. */
+static double
+limited_rate(const struct contracts_pool *pool)
+{
+    double rate = 0;
+    bool has_limit = false;
+
+    for (guint i = 0; i < pool->servers->len; i++) {
+        const struct pool_server *server = pool->servers->pdata[i];
+        double own = contracts_controller_rate(server->controller);
+        has_limit = has_limit || !isinf(own);
+        rate += own;
+    }
+    if (!isinf(rate)) {
+        return rate;
+    }
+    return has_limit && overload_is_active(&pool->overload)
+               ? pool->overload.served_rate
+               : 0;
+}
+
+/* Returns how long an online request would wait behind `position` others for
+ * the servers' rate, in ms; 0 if the rate does not limit it. */
+static int64_t
+wait_for_rate(const struct contracts_pool *pool, double position)
+{
+    double rate = limited_rate(pool);
+
+    if (rate <= 0) {
+        return 0;
+    }
+    return (int64_t)((position + 1) / rate * MS_PER_S);
+}
+
 static void
 record_demand(struct contracts_pool *pool, bool is_admission, int64_t now_ms)
 {
@@ -140,6 +182,9 @@
     event.ask_id = admission->ask_id;
     event.answer = kind;
     fill_load(pool, &event, now_ms);
+    if (kind == CONTRACTS_BUSY && admission->class_ != CONTRACTS_BATCH) {
+        event.retry_ms = wait_for_rate(pool, queue_count(&pool->queue));
+    }
     g_array_append_val(out, event);
 }
 
@@ -210,10 +255,13 @@
 static int
 count_batch(const struct contracts_pool *pool)
 {
-    struct contracts_load load;
+    int n_slots = 0;
 
-    contracts_pool_load(pool, &load);
-    return load.batch;
+    for (guint i = 0; i < pool->servers->len; i++) {
+        const struct pool_server *server = pool->servers->pdata[i];
+        n_slots += contracts_controller_preemptible(server->controller);
+    }
+    return n_slots;
 }
 
 /* Returns a server whose window is full of online requests and that may get
@@ -401,6 +449,25 @@
            position / rate * 1000 > (double)admission->wait_ms;
 }
 
+/* Limits a request's wait for servers that named limits to the time until it
+ * is late, and returns whether it can be served by then: its place in the
+ * queue and the servers' rate tell. */
+static bool
+may_wait_for_rate(const struct contracts_pool *pool,
+                  struct contracts_admission *admission)
+{
+    int64_t expected_ms =
+        wait_for_rate(pool, queue_position(&pool->queue, admission));
+
+    if (expected_ms == 0) {
+        return true;
+    }
+    if (admission->prefer_ms > 0) {
+        admission->wait_ms = MIN(admission->wait_ms, admission->prefer_ms);
+    }
+    return expected_ms <= admission->wait_ms;
+}
+
 /* Makes room in a full queue by evicting a request of the operator that has
  * the most waiting ones relative to its weight.  Returns false when that is
  * the operator of the new request. */
@@ -437,6 +504,7 @@
         admission.wait_ms = PREEMPT_WAIT_MS;
     }
     if (admission.wait_ms <= 0 || would_time_out(pool, &admission) ||
+        !may_wait_for_rate(pool, &admission) ||
         !make_queue_space(pool, &admission, now_ms, out)) {
         answer(pool, &admission, CONTRACTS_BUSY, now_ms, out);
         return;
--- a/packages/control/client.c
+++ b/packages/control/client.c
@@ -38,6 +38,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     client->local_shares =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    client->local_uses =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     client->unreachable =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     client->recent = g_queue_new();
@@ -72,6 +74,7 @@
     control_drop_recent_releases(control, true);
     g_queue_free(client->recent);
     g_hash_table_destroy(client->local_shares);
+    g_hash_table_destroy(client->local_uses);
     g_hash_table_destroy(client->by_contract);
     base_table_finish(&client->held);
 }
@@ -203,6 +206,41 @@
     return n_accepting;
 }
 
+/* The requests that this node has sent from its local share to a server that
+ * has named a limit. */
+struct local_use {
+    int64_t period; /* number of the period of CONTRACTS_LOCAL_MS */
+    int count;      /* in that period */
+};
+
+/* Returns whether the limit that the server named, if any, allows this node to
+ * send it another request without its owner, and counts the request. */
+static bool
+take_local_limit(struct control *control, const char *server, int n_nodes)
+{
+    double limit = control_server_limit(control, server);
+    int64_t period = control->now_ms / CONTRACTS_LOCAL_MS;
+    struct local_use *use;
+
+    if (limit == NOTICES_NO_LIMIT) {
+        g_hash_table_remove(control->client.local_uses, server);
+        return true;
+    }
+    use = g_hash_table_lookup(control->client.local_uses, server);
+    if (use == NULL) {
+        use = g_new0(struct local_use, 1);
+        g_hash_table_insert(control->client.local_uses, g_strdup(server), use);
+    }
+    if (use->period != period) {
+        *use = (struct local_use){.period = period};
+    }
+    if (use->count >= contracts_local_limit(limit, n_nodes)) {
+        return false;
+    }
+    use->count++;
+    return true;
+}
+
 /* Answers from the local share because the server's owner did not answer or is
  * not known.  Online requests are granted up to a share of the server's slots
  * that is safe when every node does the same; batch requests are answered
@@ -213,6 +251,7 @@
     struct control *control = pending->control;
     struct control_admission *admission = pending->admission;
     int server = world_find_server(control->world, admission->server);
+    int n_nodes = count_accepting_nodes(control->view);
     int share;
 
     admission->is_local_share = true;
@@ -220,9 +259,10 @@
         finish_admission(pending, CONTRACTS_BUSY);
         return;
     }
-    share = contracts_local_share(control->world->servers[server].slots,
-                                  count_accepting_nodes(control->view));
-    if (local_in_use(control, admission->server) >= share) {
+    share =
+        contracts_local_share(control->world->servers[server].slots, n_nodes);
+    if (local_in_use(control, admission->server) >= share ||
+        !take_local_limit(control, admission->server, n_nodes)) {
         finish_admission(pending, CONTRACTS_BUSY);
         return;
     }
@@ -245,6 +285,7 @@
     admission->load.batch = (int)answer->batch;
     admission->load.queued = (int)answer->queued;
     admission->load.seen_ms = now_ms;
+    admission->retry_ms = MAX(answer->retry_ms, 0);
     memset(&admission->reduction, 0, sizeof(admission->reduction));
     if (answer->n_reduction != CONTRACTS_N_CLASSES) {
         return;
--- a/packages/control/codec.c
+++ b/packages/control/codec.c
@@ -302,6 +302,7 @@
     out->window = (uint32_t)event->load.window;
     out->online = (uint32_t)event->load.online;
     out->batch = (uint32_t)event->load.batch;
+    out->retry_ms = event->retry_ms;
     out->queued = (uint32_t)event->load.queued;
     for (int i = 0; i < CONTRACTS_N_CLASSES; i++) {
         reduction[i] = (float)event->reduction.share[i];
--- a/packages/control/owner.c
+++ b/packages/control/owner.c
@@ -626,6 +626,22 @@
     }
 }
 
+/* Passes the limit that a server named to its controller, if this node owns
+ * the server. */
+void
+control_owner_apply_limit(struct control *control, const char *server)
+{
+    struct control_owned_server *owned =
+        g_hash_table_lookup(control->owner.servers, server);
+
+    if (owned != NULL) {
+        contracts_controller_set_limit(owned->controller,
+                                       control_server_limit(control, server),
+                                       control->now_ms, control->owner.events);
+        control_owner_deliver(control, owned);
+    }
+}
+
 /* Passes a server's own load report, made age_ms ago, to its controller. */
 void
 control_owner_server_report(struct control *control, const char *server,
--- a/packages/control/server_notices.c
+++ b/packages/control/server_notices.c
@@ -225,6 +225,7 @@
     g_mutex_unlock(&control->server_notices.lock);
     if (is_new) {
         log_change(&record, sender);
+        control_owner_apply_limit(control, record.server.name);
     }
 }
 
@@ -273,6 +274,7 @@
     if (is_changed && find_record(control, server.name, &record)) {
         base_counter_add(control->server_notices.changes, 1);
         log_change(&record, "response");
+        control_owner_apply_limit(control, server.name);
         send_to_owner(control, server.name);
     }
     base_call_reply(call);
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -502,6 +502,85 @@
     }
 }
 
+/* Requests admission n times through all nodes in turn, without waiting, and
+ * returns how many were granted. */
+int
+count_grants(Fleet &fleet, const std::string &server, size_t n_nodes, int n)
+{
+    int n_granted = 0;
+
+    for (int i = 0; i < n; i++) {
+        n_granted += fleet.task
+                         .admission(fleet.at((size_t)i % n_nodes),
+                                    server.c_str(), CONTRACTS_ONLINE_SHORT)
+                         ->answer == CONTRACTS_GRANTED;
+    }
+    return n_granted;
+}
+
+bool
+wait_for_limit(Fleet &fleet, const std::string &server, size_t n_nodes,
+               double limit)
+{
+    return fleet.task.until([&] {
+        for (size_t i = 0; i < n_nodes; i++) {
+            if (control_server_limit(fleet.at(i), server.c_str()) != limit) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+TEST(Control, AServerGetsNoMoreThanALimitThatAnyNodeHeard)
+{
+    Fleet fleet(3);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    ASSERT_TRUE(fleet.apply_config(1, document(8)));
+    ASSERT_TRUE(each_has_one_owner(fleet, 8));
+    ASSERT_TRUE(wait_until_rebuilt(fleet, 8));
+    std::string server = server_owned_by(fleet, 1);
+    ASSERT_FALSE(server.empty());
+    control_note_response(fleet.at(2), server.c_str(), "0.01",
+                          base_clock_ms());
+    ASSERT_TRUE(wait_for_limit(fleet, server, 3, 0.01));
+    EXPECT_LE(count_grants(fleet, server, 3, 15), 5);
+    /* The next owner keeps to it from the start. */
+    control_leave(fleet.at(1));
+    ASSERT_TRUE(fleet.task.until([&] {
+        auto owners = owners_by_server(fleet);
+        return owners[server].size() == 1 && owners[server][0] != 1;
+    }));
+    EXPECT_LE(count_grants(fleet, server, 3, 15), 5);
+    /* A response without a limit ends it. */
+    control_note_response(fleet.at(0), server.c_str(), nullptr,
+                          base_clock_ms());
+    ASSERT_TRUE(wait_for_limit(fleet, server, 3, NOTICES_NO_LIMIT));
+    EXPECT_GE(count_grants(fleet, server, 3, 8), 4);
+}
+
+TEST(Control, AServerThatNamedALimitGetsNothingWhileItsOwnerIsPaused)
+{
+    Fleet fleet(2);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    ASSERT_TRUE(fleet.apply_config(1, document(8)));
+    ASSERT_TRUE(each_has_one_owner(fleet, 8));
+    std::string server = server_owned_by(fleet, 1);
+    ASSERT_FALSE(server.empty());
+    control_note_response(fleet.at(0), server.c_str(), "1", base_clock_ms());
+    ASSERT_TRUE(wait_for_limit(fleet, server, 2, 1));
+    Pause pause;
+    pause.begin(fleet.at(1));
+    /* The share of one of two nodes in 4 s is 0.5 requests. */
+    for (int i = 0; i < 3; i++) {
+        struct control_admission *admission = fleet.task.admission(
+            fleet.at(0), server.c_str(), CONTRACTS_ONLINE_SHORT);
+        EXPECT_TRUE(!admission->is_local_share ||
+                    admission->answer == CONTRACTS_BUSY);
+    }
+    pause.end();
+}
+
 TEST(Control, RateLimitsHoldAcrossNodes)
 {
     Fleet fleet(2);
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -97,6 +97,26 @@
     return true;
 }
 
+/* Queues at another pool, because the servers of this one are kept to a rate
+ * that the request would exceed.  Returns false when there is none, or when
+ * the request has not queued yet. */
+static bool
+queue_at_next_pool(struct attempt *attempt)
+{
+    int server = WORLD_NONE;
+
+    note_tried(&attempt->choice, attempt->server);
+    if (attempt->is_queued && attempt->n_requested < EXCHANGE_MAX_ADMISSIONS) {
+        server = choose_server(attempt);
+    }
+    if (server == WORLD_NONE) {
+        return false;
+    }
+    request_admission(attempt, server,
+                      MAX(remaining_ms(attempt) - QUEUE_MARGIN_MS, 1));
+    return true;
+}
+
 /* Requests admission at the next server that the policy chooses.  After
  * DIRECT_CHOICES requests, or when no server is left to choose, it queues at
  * the least loaded of the servers that were busy; in a pooled deployment after
@@ -212,6 +232,20 @@
     return true;
 }
 
+/* Notes when the servers that are busy may have room, if all of them are kept
+ * to a rate. */
+static void
+note_retry(struct attempt *attempt, const struct control_admission *admission)
+{
+    if (admission->retry_ms == 0) {
+        attempt->is_retry_unknown = true;
+    }
+    else if (attempt->retry_ms == 0 ||
+             admission->retry_ms < attempt->retry_ms) {
+        attempt->retry_ms = admission->retry_ms;
+    }
+}
+
 static void
 apply_admission(struct attempt *attempt,
                 const struct control_admission *admission)
@@ -232,6 +266,7 @@
         send_request(attempt);
         return;
     case CONTRACTS_BUSY:
+        note_retry(attempt, admission);
         if (admission->is_local_share) {
             /* The server's owner is unreachable, so the request can't
              * queue there. */
@@ -239,6 +274,9 @@
             skip_server(attempt);
             return;
         }
+        if (admission->retry_ms > 0 && queue_at_next_pool(attempt)) {
+            return;
+        }
         if (attempt->is_queued) {
             exchange_on_no_contract(attempt->exchange, attempt,
                                     admission->answer);
--- a/packages/front/exchange.c
+++ b/packages/front/exchange.c
@@ -257,6 +257,8 @@
 {
     bool was_hedge = attempt->is_hedge;
 
+    exchange->retry_after_ms =
+        attempt->is_retry_unknown ? 0 : attempt->retry_ms;
     clear_attempt(exchange, attempt);
     attempt_free(attempt);
     if (has_active_attempt(exchange) || exchange->is_ended) {
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -45,7 +45,10 @@
                          and the request has not queued by them yet */
     bool was_refused; /* a server had no room for the operator */
     bool was_local_share_busy; /* a server with unreachable owner was busy */
-    double best_load;          /* load of best_busy */
+    int64_t retry_ms;      /* shortest time until a busy server has room; 0:
+                              unknown */
+    bool is_retry_unknown; /* that of another busy server is not known */
+    double best_load;      /* load of best_busy */
     bool is_queued;
     struct base_span admission_span;
     /* running */
