Know a request that crashes servers again, whatever its prompt

What callers saw: a request that comes again could crash a server each time, if its prompt has no parts, one only, or parts that sound requests clear.

Cause: the quarantine judged shared parts of prompts, never a request itself.

Change: a hash of caller, method, host, path and body is one more suspect beside the parts (exchange_identify), for requests of a site and for our own chat API.

--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -111,7 +111,8 @@
     }
     base_counter_add(prompt_parts->crashes, 1);
     for (int i = 0; i < parts->n_parts; i++) {
-        struct quarantine_parts part = {1, {parts->parts[i]}};
+        struct quarantine_parts part = {.n_parts = 1,
+                                        .parts = {parts->parts[i]}};
         int n_crashes;
         int64_t blocked_ms;
         g_mutex_lock(&prompt_parts->lock);
@@ -123,8 +124,11 @@
         g_mutex_unlock(&prompt_parts->lock);
         base_log(BASE_LOG_NOTICE, "prompt.crash",
                  "part=%016" G_GINT64_MODIFIER
-                 "x server=%s crashes=%d blocked_ms=%" G_GINT64_FORMAT,
-                 parts->parts[i], server, n_crashes, blocked_ms);
+                 "x is_request=%d server=%s crashes=%d "
+                 "blocked_ms=%" G_GINT64_FORMAT,
+                 parts->parts[i],
+                 parts->has_request && i == parts->n_parts - 1, server,
+                 n_crashes, blocked_ms);
     }
 }
 
@@ -136,8 +140,10 @@
     struct control_prompt_parts *prompt_parts = &control->prompt_parts;
 
     for (int i = 0; i < parts->n_parts; i++) {
-        struct quarantine_parts part = {1, {parts->parts[i]}};
+        struct quarantine_parts part = {.n_parts = 1,
+                                        .parts = {parts->parts[i]}};
         bool is_cleared;
+        part.has_request = parts->has_request && i == parts->n_parts - 1;
         g_mutex_lock(&prompt_parts->lock);
         is_cleared = quarantine_note_answer(&prompt_parts->quarantine, &part,
                                             base_clock_ms());
@@ -282,7 +288,7 @@
            const char *sender)
 {
     struct control_prompt_parts *prompt_parts = &control->prompt_parts;
-    struct quarantine_parts part = {1, {record->part}};
+    struct quarantine_parts part = {.n_parts = 1, .parts = {record->part}};
     int64_t blocked_ms;
     bool is_new;
 
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -753,9 +753,9 @@
 TEST(Control, APartThatCrashesServersIsBlockedOnAllNodes)
 {
     enum { BETWEEN_CRASHES_US = 400000 };
-    struct quarantine_parts culprit = {1, {7}};
-    struct quarantine_parts shared = {1, {8}};
-    struct quarantine_parts both = {2, {8, 7}};
+    struct quarantine_parts culprit = {1, {7}, false};
+    struct quarantine_parts shared = {1, {8}, false};
+    struct quarantine_parts both = {2, {8, 7}, false};
     Fleet fleet(3);
     ASSERT_TRUE(fleet.wait_until_joined());
     control_prompt_crashed(fleet.at(0), &both, "e0");
--- a/packages/front/chat.c
+++ b/packages/front/chat.c
@@ -354,6 +354,7 @@
     chat->heartbeat_ms = base_clock_ms();
     prepare_exchange(chat, request, deployment);
     request->state = chat;
+    exchange_identify(&chat->exchange);
     exchange_start(&chat->exchange);
 }
 
--- a/packages/front/exchange.c
+++ b/packages/front/exchange.c
@@ -206,6 +206,27 @@
     return blocked_ms > 0;
 }
 
+/* Adds the request to the parts of its prompt, so that it is known again when
+ * its caller sends it once more, at any node.  Call it once the request, the
+ * parts and the deployment are set. */
+void
+exchange_identify(struct exchange *exchange)
+{
+    const char *const texts[] = {exchange->request->operator_name,
+                                 exchange->method, exchange->host,
+                                 exchange->path};
+    const struct world *world = exchange->request->world;
+    uint64_t hash = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        hash = base_hash_text(texts[i] != NULL ? texts[i] : "", hash);
+    }
+    hash = base_hash(exchange->body, exchange->body_size, hash);
+    quarantine_add_request(&exchange->parts, hash);
+    quarantine_scope(&exchange->parts,
+                     world->deployments[exchange->choice.deployment].name);
+}
+
 /* Starts the first attempt.  ops->completed or ops->failed is called with the
  * result, possibly before this returns. */
 void
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -145,6 +145,7 @@
 
 void exchange_init(struct exchange *exchange, const struct exchange_ops *ops,
                    struct front_request *request, int deployment);
+void exchange_identify(struct exchange *exchange);
 void exchange_start(struct exchange *exchange);
 void exchange_cancel(struct exchange *exchange);
 void exchange_finish(struct exchange *exchange);
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -442,9 +442,8 @@
     exchange->choice.prefix_key = prompt.shared_key;
     if (protocol->read_parts != NULL) {
         protocol->read_parts(get_header, request, &exchange->parts);
-        quarantine_scope(&exchange->parts,
-                         request->world->deployments[deployment].name);
     }
+    exchange_identify(exchange);
 }
 
 static void
--- a/packages/front/test_chat.cc
+++ b/packages/front/test_chat.cc
@@ -268,6 +268,18 @@
     EXPECT_EQ(unstreamed.body.find("t0"), std::string::npos);
 }
 
+TEST_F(Chat, ARequestThatCrashesServersEndsAfterAFew)
+{
+    std::atomic<int> n_crashes{0};
+    struct test_server engine([&](int, const std::string &) { n_crashes++; });
+
+    start({&engine});
+    for (int i = 0; i < 10; i++) {
+        EXPECT_NE(ask(test_chat(false)).status, 200);
+    }
+    EXPECT_LE(n_crashes, 3);
+}
+
 /* An error response tells in x-cardamompick-ran whether a server may have run
  * the request.  Callers rely on it to decide whether to send it again. */
 TEST_F(Chat, ErrorsTellWhetherTheRequestRan)
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -447,6 +447,41 @@
     }
 }
 
+TEST_F(Ingress, ARequestThatCrashesServersEndsAfterAFewWhateverItsPrompt)
+{
+    enum { N_REQUESTS = 20 };
+    static const struct {
+        const char *what;
+        const char *parts;
+        const char *path;
+    } CASES[] = {
+        {"no prompt", "", "/a/none"},
+        {"one part, its own", "x-parts: o\r\n", "/a/one"},
+        {"parts that all share", "x-parts: sto\r\n", "/a/shared"},
+    };
+    std::atomic<int> n_crashes{0};
+    struct test_server engine([&](int fd, const std::string &request) {
+        if (request.find("\r\n\r\ndeadly") != std::string::npos) {
+            n_crashes++;
+            return;
+        }
+        serve_stream(fd, request);
+    });
+
+    max_attempts = 1;
+    begin({&engine});
+    for (const auto &c : CASES) {
+        n_crashes = 0;
+        for (int i = 0; i < N_REQUESTS; i++) {
+            EXPECT_NE(ask(post(c.path, "deadly", c.parts)).status, 200);
+            EXPECT_EQ(ask(post(c.path, "sound", c.parts)).status, 200)
+                << c.what;
+        }
+        EXPECT_EQ(n_crashes, 3) << c.what;
+        EXPECT_EQ(ask(post(c.path, "deadly", c.parts)).status, 503) << c.what;
+    }
+}
+
 /* Part "x" crashes each server that begins to answer a request with it; "s" is
  * shared with sound requests. */
 TEST_F(Ingress, RequestsWithAPartThatCrashesServersEndAfterAFew)
--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -119,6 +119,22 @@
     }
 }
 
+/* Adds the request itself, by a hash of what is the same when it is sent once
+ * more.  Call it once, before quarantine_scope. */
+void
+quarantine_add_request(struct quarantine_parts *parts, uint64_t request)
+{
+    parts->parts[parts->n_parts++] = request;
+    parts->has_request = true;
+}
+
+/* Whether the part with this index is the request itself. */
+static bool
+is_request(const struct quarantine_parts *parts, int index)
+{
+    return parts->has_request && index == parts->n_parts - 1;
+}
+
 /* ---- judgement ---- */
 
 static struct entry *
@@ -432,7 +448,8 @@
     renew_answered(quarantine, now_ms);
     for (int i = 0; i < parts->n_parts; i++) {
         struct entry *entry = find_entry(quarantine, parts->parts[i]);
-        if (!g_hash_table_contains(quarantine->answered, &parts->parts[i])) {
+        if (!is_request(parts, i) &&
+            !g_hash_table_contains(quarantine->answered, &parts->parts[i])) {
             g_hash_table_add(
                 quarantine->answered,
                 g_memdup2(&parts->parts[i], sizeof(parts->parts[i])));
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -10,8 +10,10 @@
  * next sound request, and one crash that breaks many connections counts once.
  * A part that was answered in the last minute or two needs more crashes, since
  * the culprit of the same prompts, which was not, explains them.
- * After a while single requests may try again, since a server can be mended;
- * another crash then blocks the part for twice as long.
+ * A request as a whole counts as one more part: if it crashes servers by
+ * itself, its parts may all be answered in other requests, or it may have
+ * none. After a while single requests may try again, since a server can be
+ * mended; another crash then blocks the part for twice as long.
  *
  *     struct quarantine quarantine;
  *     quarantine_init(&quarantine, &(struct quarantine_desc){0});
@@ -39,10 +41,12 @@
     QUARANTINE_MAX_PARTS = 16, /* of one prompt; further ones are ignored */
 };
 
-/* The parts of a prompt that other requests may share, as hashes. */
+/* The parts of a prompt that other requests may share, as hashes, and then the
+ * request as a whole, if it is known again when it is sent once more. */
 struct quarantine_parts {
-    int n_parts;
-    uint64_t parts[QUARANTINE_MAX_PARTS];
+    int n_parts; /* with the request */
+    uint64_t parts[QUARANTINE_MAX_PARTS + 1];
+    bool has_request; /* the last one is the request */
 };
 
 /* 0: the default, which the comment gives. */
@@ -101,6 +105,7 @@
 int quarantine_suspicion(const struct quarantine *quarantine,
                          const struct quarantine_parts *parts);
 void quarantine_scope(struct quarantine_parts *parts, const char *deployment);
+void quarantine_add_request(struct quarantine_parts *parts, uint64_t request);
 void quarantine_note_crash(struct quarantine *quarantine,
                            const struct quarantine_parts *parts,
                            uint64_t server, int64_t now_ms);
