Send nothing new to servers that say in a response that they leave

Cause: a server that leaves now says so in all its responses. Nodes learned of it from the store and from each other only, so that a node that is cut off from both went on sending requests there.

Change: notices records that a server leaves, for good until its next start. Admission of the node that heard it ends at once, whoever grants; the owner drains the server's controller; all nodes are told as they are of limits. The attempt tells the owner which servers it must not grant again.

--- a/packages/control/client.c
+++ b/packages/control/client.c
@@ -347,6 +347,22 @@
     admission->contract = add_held_contract(control, &held);
 }
 
+/* Gives a contract back if this node knows that the server leaves, and its
+ * owner doesn't yet. */
+static bool
+release_if_leaving(struct pending_admission *pending)
+{
+    struct control_admission *admission = pending->admission;
+
+    if (!control_has_said_leaving(pending->control, admission->server)) {
+        return false;
+    }
+    control_client_release(pending->control, admission->contract, 0, NULL);
+    admission->contract = 0;
+    finish_admission(pending, CONTRACTS_UNAVAILABLE);
+    return true;
+}
+
 static void send_admission(struct pending_admission *pending);
 
 static void
@@ -370,6 +386,9 @@
     read_pool_loads(pending->admission, answer, control->now_ms);
     if (answer->answer == CONTRACTS_GRANTED) {
         apply_grant(pending, answer);
+        if (release_if_leaving(pending)) {
+            return;
+        }
     }
     finish_admission(pending, answer->answer <= CONTRACTS_UNAVAILABLE
                                   ? (enum contracts_answer)answer->answer
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -133,11 +133,17 @@
 void control_prompt_answered(struct control *control,
                              const struct quarantine_parts *parts);
 
-/* Notes what a response of a server, to a request sent at sent_ms, says of the
- * server: the value of the header with its request limit, in requests a
- * second, or NULL if the response has none.  Any thread. */
+/* What a response says of its server. */
+struct control_response {
+    const char *limit; /* value of the header with the requests a second that
+                          the server takes; NULL: it has none */
+    bool is_leaving;
+    int64_t sent_ms; /* when the request was sent */
+};
+
+/* Notes what a response says of its server; any thread. */
 void control_note_response(struct control *control, const char *server,
-                           const char *limit, int64_t sent_ms);
+                           const struct control_response *response);
 
 /* Called on the control task whenever the configuration or the membership
  * changed; both are borrowed for the call.  world is NULL until there is a
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -383,7 +383,7 @@
                                  struct control_owned_server *owned,
                                  const char *holder, size_t n_held,
                                  Control__Held *const *held);
-void control_owner_apply_limit(struct control *control, const char *server);
+void control_owner_apply_notice(struct control *control, const char *server);
 void control_owner_server_report(struct control *control, const char *server,
                                  int running, int queued, int64_t age_ms);
 
@@ -506,6 +506,7 @@
 void control_notices_tick(struct control *control);
 void control_notices_set_servers(struct control *control);
 double control_server_limit(struct control *control, const char *server);
+bool control_has_said_leaving(struct control *control, const char *server);
 uint64_t control_notices_digest(struct control *control);
 void control_notices_send_all(struct control *control, const char *address);
 bool control_notices_receive(struct control *control,
--- a/packages/control/leaving.c
+++ b/packages/control/leaving.c
@@ -74,8 +74,8 @@
            atoi(colon + 1) == server->port;
 }
 
-/* Whether the platform reports the server as leaving, either its whole host or
- * its host and port. */
+/* Whether the server has said in a response that it leaves, or the platform
+ * reports so, either of its whole host or of its host and port. */
 bool
 control_is_leaving(struct control *control, int server)
 {
@@ -83,6 +83,9 @@
     GHashTableIter iter;
     gpointer value;
 
+    if (control_has_said_leaving(control, config->name)) {
+        return true;
+    }
     g_hash_table_iter_init(&iter, control->leaving.entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct control_leaving_entry *entry = value;
--- a/packages/control/owned_servers.c
+++ b/packages/control/owned_servers.c
@@ -79,7 +79,7 @@
              "server=%s slots=%d nodes=%d rebuilding=%d", owned->server,
              desc.slots, control->view->n_nodes, is_rebuilding);
     update_leaving(control, owned, server);
-    control_owner_apply_limit(control, owned->server);
+    control_owner_apply_notice(control, owned->server);
     control_handover_apply(control, owned);
 }
 
@@ -160,7 +160,7 @@
     desc = describe_controller(control, server, false);
     contracts_controller_configure(owned->controller, &desc);
     update_leaving(control, owned, server);
-    control_owner_apply_limit(control, owned->server);
+    control_owner_apply_notice(control, owned->server);
 }
 
 /* Applies a change of the configuration or the membership: which servers this
--- a/packages/control/owner.c
+++ b/packages/control/owner.c
@@ -626,10 +626,9 @@
     }
 }
 
-/* Passes the limit that a server named to its controller, if this node owns
- * the server. */
+/* Applies what a server has said of itself, if this node owns it. */
 void
-control_owner_apply_limit(struct control *control, const char *server)
+control_owner_apply_notice(struct control *control, const char *server)
 {
     struct control_owned_server *owned =
         g_hash_table_lookup(control->owner.servers, server);
@@ -639,6 +638,8 @@
                                        control_server_limit(control, server),
                                        control->now_ms, control->owner.events);
         control_owner_deliver(control, owned);
+        control->is_changed =
+            control->is_changed || control_has_said_leaving(control, server);
     }
 }
 
--- a/packages/control/server_notices.c
+++ b/packages/control/server_notices.c
@@ -38,12 +38,26 @@
     return limit;
 }
 
+/* Returns whether a response of the server has said that it leaves. */
+bool
+control_has_said_leaving(struct control *control, const char *server)
+{
+    bool is_leaving;
+
+    g_mutex_lock(&control->server_notices.lock);
+    is_leaving = notices_is_leaving(&control->server_notices.notices, server);
+    g_mutex_unlock(&control->server_notices.lock);
+    return is_leaving;
+}
+
 static void
 log_change(const struct notices_record *record, const char *from)
 {
-    base_log(BASE_LOG_NOTICE, "server.limit",
-             "server=%s limit_per_s=%g version=%" G_GUINT64_FORMAT " from=%s",
-             record->server.name, record->limit_per_s, record->version, from);
+    base_log(BASE_LOG_NOTICE, "server.notice",
+             "server=%s limit_per_s=%g version=%" G_GUINT64_FORMAT
+             " leaving=%d from=%s",
+             record->server.name, record->limit_per_s, record->version,
+             record->is_leaving, from);
 }
 
 /* ---- messages ---- */
@@ -56,6 +70,7 @@
     out->started_ms = record->server.started_ms;
     out->version = record->version;
     out->limit_per_s = record->limit_per_s;
+    out->is_leaving = record->is_leaving;
 }
 
 /* Packs an array of struct notices_record. */
@@ -205,7 +220,8 @@
                      const Control__ServerNotice *notice, const char *sender)
 {
     struct notices_record record = {.version = notice->version,
-                                    .limit_per_s = notice->limit_per_s};
+                                    .limit_per_s = notice->limit_per_s,
+                                    .is_leaving = notice->is_leaving};
     bool is_new;
 
     if (notice->server[0] == '\0' ||
@@ -225,7 +241,7 @@
     g_mutex_unlock(&control->server_notices.lock);
     if (is_new) {
         log_change(&record, sender);
-        control_owner_apply_limit(control, record.server.name);
+        control_owner_apply_notice(control, record.server.name);
     }
 }
 
@@ -251,6 +267,7 @@
     struct base_call call;
     char server[CONTROL_SERVER_SIZE];
     double limit_per_s;
+    bool is_leaving;
     int64_t sent_ms;
     int64_t received_ms;
 };
@@ -270,11 +287,16 @@
     is_changed = notices_observe(&control->server_notices.notices, &server,
                                  response->limit_per_s, response->sent_ms,
                                  response->received_ms);
+    if (response->is_leaving) {
+        is_changed = notices_observe_leaving(&control->server_notices.notices,
+                                             &server) ||
+                     is_changed;
+    }
     g_mutex_unlock(&control->server_notices.lock);
     if (is_changed && find_record(control, server.name, &record)) {
         base_counter_add(control->server_notices.changes, 1);
         log_change(&record, "response");
-        control_owner_apply_limit(control, server.name);
+        control_owner_apply_notice(control, server.name);
         send_to_owner(control, server.name);
     }
     base_call_reply(call);
@@ -289,27 +311,30 @@
 /* See the header. */
 void
 control_note_response(struct control *control, const char *server,
-                      const char *limit, int64_t sent_ms)
+                      const struct control_response *response)
 {
     static const struct base_call_ops OPS = {serve_response, NULL, free_call};
     double limit_per_s = NOTICES_NO_LIMIT;
-    struct response_call *response;
+    struct response_call *noted;
 
-    if (limit != NULL && !notices_parse_limit(limit, &limit_per_s)) {
+    if (response->limit != NULL &&
+        !notices_parse_limit(response->limit, &limit_per_s)) {
         base_log(BASE_LOG_WARNING, "server.limit_unreadable",
                  "server=%s value=\"%.32s\" reason=\"not a decimal number\"",
-                 server, limit);
-        return;
+                 server, response->limit);
+        limit_per_s = control_server_limit(control, server);
     }
-    if (limit_per_s == control_server_limit(control, server)) {
+    if (limit_per_s == control_server_limit(control, server) &&
+        (!response->is_leaving || control_has_said_leaving(control, server))) {
         return;
     }
-    response = g_new0(struct response_call, 1);
-    g_strlcpy(response->server, server, sizeof(response->server));
-    response->limit_per_s = limit_per_s;
-    response->sent_ms = sent_ms;
-    response->received_ms = base_clock_ms();
-    base_call_send(&response->call, &OPS, &control->task, NULL);
+    noted = g_new0(struct response_call, 1);
+    g_strlcpy(noted->server, server, sizeof(noted->server));
+    noted->limit_per_s = limit_per_s;
+    noted->is_leaving = response->is_leaving;
+    noted->sent_ms = response->sent_ms;
+    noted->received_ms = base_clock_ms();
+    base_call_send(&noted->call, &OPS, &control->task, NULL);
 }
 
 /* Takes the servers of the configuration in force. */
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -518,6 +518,14 @@
     return n_granted;
 }
 
+void
+note_limit(Fleet &fleet, size_t node, const std::string &server,
+           const char *limit)
+{
+    struct control_response response = {limit, false, base_clock_ms()};
+    control_note_response(fleet.at(node), server.c_str(), &response);
+}
+
 bool
 wait_for_limit(Fleet &fleet, const std::string &server, size_t n_nodes,
                double limit)
@@ -541,8 +549,7 @@
     ASSERT_TRUE(wait_until_rebuilt(fleet, 8));
     std::string server = server_owned_by(fleet, 1);
     ASSERT_FALSE(server.empty());
-    control_note_response(fleet.at(2), server.c_str(), "0.01",
-                          base_clock_ms());
+    note_limit(fleet, 2, server, "0.01");
     ASSERT_TRUE(wait_for_limit(fleet, server, 3, 0.01));
     EXPECT_LE(count_grants(fleet, server, 3, 15), 5);
     /* The next owner keeps to it from the start. */
@@ -553,8 +560,7 @@
     }));
     EXPECT_LE(count_grants(fleet, server, 3, 15), 5);
     /* A response without a limit ends it. */
-    control_note_response(fleet.at(0), server.c_str(), nullptr,
-                          base_clock_ms());
+    note_limit(fleet, 0, server, nullptr);
     ASSERT_TRUE(wait_for_limit(fleet, server, 3, NOTICES_NO_LIMIT));
     EXPECT_GE(count_grants(fleet, server, 3, 8), 4);
 }
@@ -567,7 +573,7 @@
     ASSERT_TRUE(each_has_one_owner(fleet, 8));
     std::string server = server_owned_by(fleet, 1);
     ASSERT_FALSE(server.empty());
-    control_note_response(fleet.at(0), server.c_str(), "1", base_clock_ms());
+    note_limit(fleet, 0, server, "1");
     ASSERT_TRUE(wait_for_limit(fleet, server, 2, 1));
     Pause pause;
     pause.begin(fleet.at(1));
@@ -581,6 +587,45 @@
     pause.end();
 }
 
+TEST(Control, AServerThatSaidThatItLeavesGetsNoNewRequests)
+{
+    enum { N_SERVERS = 4 };
+    /* A node alone, as one that is cut off from the others and the store; or
+     * one of three, which are all to know. */
+    for (size_t n_nodes : {(size_t)1, (size_t)3}) {
+        Fleet fleet(n_nodes);
+        struct control_response response = {nullptr, true, 0};
+        ASSERT_TRUE(fleet.wait_until_joined());
+        ASSERT_TRUE(fleet.apply_config(1, document(N_SERVERS)));
+        ASSERT_TRUE(each_has_one_owner(fleet, N_SERVERS));
+        control_note_response(fleet.at(0), "e0", &response);
+        for (size_t node = 0; node < n_nodes; node++) {
+            EXPECT_TRUE(fleet.task.until([&] {
+                return fleet.task
+                           .admission(fleet.at(node), "e0",
+                                      CONTRACTS_ONLINE_SHORT)
+                           ->answer == CONTRACTS_UNAVAILABLE;
+            })) << node;
+            EXPECT_EQ(
+                fleet.task.admission(fleet.at(node), "e0", CONTRACTS_BATCH)
+                    ->answer,
+                CONTRACTS_UNAVAILABLE);
+            EXPECT_EQ(
+                fleet.task
+                    .admission(fleet.at(node), "e1", CONTRACTS_ONLINE_SHORT)
+                    ->answer,
+                CONTRACTS_GRANTED);
+        }
+        /* A later response that doesn't say so changes nothing. */
+        response = {nullptr, false, base_clock_ms()};
+        control_note_response(fleet.at(0), "e0", &response);
+        EXPECT_EQ(
+            fleet.task.admission(fleet.at(0), "e0", CONTRACTS_ONLINE_SHORT)
+                ->answer,
+            CONTRACTS_UNAVAILABLE);
+    }
+}
+
 TEST(Control, RateLimitsHoldAcrossNodes)
 {
     Fleet fleet(2);
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -361,7 +361,7 @@
 }
 
 /* Lets the owner grant any server of the pool, except those where the request
- * failed. */
+ * failed, or that it must not get. */
 static void
 allow_any_server(const struct attempt *attempt,
                  struct control_admission *admission)
@@ -372,11 +372,11 @@
 
     admission->any_server = world->deployments[server->deployment].is_pooled &&
                             !exchange->needs_resume;
-    for (int i = 0; i < exchange->choice.n_tried &&
+    for (int i = 0; i < attempt->choice.n_failed &&
                     admission->n_avoid < CONTRACTS_MAX_AVOIDED;
          i++) {
         admission->avoid[admission->n_avoid++] =
-            base_hash_text(world->servers[exchange->choice.tried[i]].name, 0);
+            base_hash_text(world->servers[attempt->choice.tried[i]].name, 0);
     }
 }
 
@@ -437,24 +437,37 @@
     try_next_server(attempt);
 }
 
+/* Copies a header of the response, or returns NULL if it has none. */
+static const char *
+copy_header(const struct attempt *attempt, const char *name, char *out,
+            size_t size)
+{
+    return name != NULL && backends_header(&attempt->front->backends,
+                                           attempt->call, name, out, size)
+               ? out
+               : NULL;
+}
+
 /* Passes on what the response says of its server, unless another one sent
  * it. */
 static void
 note_response(const struct attempt *attempt, int status)
 {
     const struct front_protocol *protocol = attempt->exchange->protocol;
-    struct front *front = attempt->front;
+    struct control_response response = {.sent_ms = attempt->sent_us / 1000};
     char limit[32];
-    bool has_limit;
+    char leaving[8];
 
-    if (protocol == NULL || protocol->request_limit == NULL ||
-        status == protocol->misdirected_status) {
+    if (protocol == NULL || status == protocol->misdirected_status) {
         return;
     }
-    has_limit = backends_header(&front->backends, attempt->call,
-                                protocol->request_limit, limit, sizeof(limit));
-    control_note_response(front->control, attempt->server_name,
-                          has_limit ? limit : NULL, attempt->sent_us / 1000);
+    response.limit =
+        copy_header(attempt, protocol->request_limit, limit, sizeof(limit));
+    response.is_leaving = g_strcmp0(copy_header(attempt, protocol->leaving,
+                                                leaving, sizeof(leaving)),
+                                    "1") == 0;
+    control_note_response(attempt->front->control, attempt->server_name,
+                          &response);
 }
 
 static void
--- a/packages/front/protocol.h
+++ b/packages/front/protocol.h
@@ -48,6 +48,7 @@
     const char *refused_not_run; /* the server did not run the request */
     const char *request_limit; /* requests a second that the server takes from
                                   all nodes together; NULL: none say so */
+    const char *leaving; /* value 1: the server leaves; NULL: none say so */
     const char *const *relayed_headers; /* copied to the caller unchanged;
                                            ends with NULL */
     int misdirected_status; /* status from a server that is not the expected
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -50,6 +50,7 @@
     protocol.wait_ms = "x-wait-ms";
     protocol.refused_not_run = "x-refused";
     protocol.request_limit = "x-limit";
+    protocol.leaving = "x-leaving";
     protocol.relayed_headers = RELAYED_HEADERS;
     protocol.misdirected_status = 421;
     protocol.find_call = find_call;
@@ -224,7 +225,7 @@
     EXPECT_EQ(seen.substr(seen.find("\r\n\r\n") + 4), "body");
 }
 
-TEST_F(Ingress, LimitsThatServersNameAreNoted)
+TEST_F(Ingress, WhatServersSayOfThemselvesIsNoted)
 {
     static const struct {
         const char *head;
@@ -232,6 +233,9 @@
     } CASES[] = {
         {"HTTP/1.1 200 OK\r\nx-limit: 2.5\r\n", "2.5"},
         {"HTTP/1.1 200 OK\r\n", "-"},
+        {"HTTP/1.1 200 OK\r\nx-leaving: 1\r\n", "- leaving"},
+        {"HTTP/1.1 200 OK\r\nx-leaving: 0\r\n", "-"},
+        {"HTTP/1.1 503 Busy\r\nx-limit: 2\r\nx-leaving: 1\r\n", "2 leaving"},
         {"HTTP/1.1 503 Busy\r\nx-refused: 1\r\nx-limit: 1\r\n", "1"},
         {"HTTP/1.1 500 Failed\r\nx-limit: 3\r\n", "3"},
         /* another server's answer */
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -159,10 +159,13 @@
 
 void
 control_note_response(struct control *control, const char *server,
-                      const char *limit, int64_t sent_ms)
+                      const struct control_response *response)
 {
     std::lock_guard<std::mutex> guard(fakes.lock);
-    fakes.responses.emplace_back(server, limit != nullptr ? limit : "-");
+    fakes.responses.emplace_back(
+        server,
+        std::string(response->limit != nullptr ? response->limit : "-") +
+            (response->is_leaving ? " leaving" : ""));
 }
 
 bool
--- a/packages/front/test_support.h
+++ b/packages/front/test_support.h
@@ -81,7 +81,7 @@
     std::map<uint64_t, std::string> held; /* contract to server */
     std::vector<std::pair<std::string, struct contracts_outcome>> released;
     std::vector<int64_t> late_first_token_us; /* of reported late tokens */
-    /* server and limit of each response; "-": none */
+    /* server of each response, and what that said of it; "-": no limit */
     std::vector<std::pair<std::string, std::string>> responses;
     int n_bad_releases = 0; /* releases of contracts that weren't held */
     bool delays_admissions = false;
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -181,24 +181,37 @@
            !is_complete_output(work, result);
 }
 
+/* Copies a header of the response, or returns NULL if it has none. */
+static const char *
+copy_header(const struct jobs_work *work, const char *name, char *out,
+            size_t size)
+{
+    return name != NULL && backends_header(&work->run->jobs->backends,
+                                           work->call, name, out, size)
+               ? out
+               : NULL;
+}
+
 /* Passes on what the response says of its server, unless another one sent
  * it. */
 static void
 note_response(const struct jobs_work *work, int status)
 {
-    struct jobs *jobs = work->run->jobs;
+    const struct jobs_header_names *names = &work->run->jobs->names;
+    struct control_response response = {.sent_ms = work->sent_at_us / 1000};
     char limit[32];
-    bool has_limit;
+    char leaving[8];
 
-    if (jobs->names.request_limit == NULL ||
-        status == jobs->names.misdirected_status) {
+    if (status == names->misdirected_status) {
         return;
     }
-    has_limit =
-        backends_header(&jobs->backends, work->call, jobs->names.request_limit,
-                        limit, sizeof(limit));
-    control_note_response(jobs->control, work->server_name,
-                          has_limit ? limit : NULL, work->sent_at_us / 1000);
+    response.limit =
+        copy_header(work, names->request_limit, limit, sizeof(limit));
+    response.is_leaving =
+        g_strcmp0(copy_header(work, names->leaving, leaving, sizeof(leaving)),
+                  "1") == 0;
+    control_note_response(work->run->jobs->control, work->server_name,
+                          &response);
 }
 
 static void
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -155,6 +155,7 @@
     /* requests a second that the server takes from all nodes together; NULL:
      * none say so */
     const char *request_limit;
+    const char *leaving; /* value 1: the server leaves; NULL: none say so */
 };
 
 struct jobs_desc {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -384,10 +384,12 @@
 
 void
 control_note_response(struct control *control, const char *server,
-                      const char *limit, int64_t sent_ms)
+                      const struct control_response *response)
 {
     std::lock_guard<std::mutex> guard(fake->lock);
-    fake->limits.insert(limit != nullptr ? limit : "-");
+    fake->limits.insert(
+        std::string(response->limit != nullptr ? response->limit : "-") +
+        (response->is_leaving ? " leaving" : ""));
 }
 }
 
@@ -572,8 +574,8 @@
         desc.zone = "z";
         desc.counters = &site.counters;
         desc.platform = (struct platform *)&link;
-        desc.names = {"x-id",      "x-server", "last-id",
-                      "x-refused", 421,        "x-limit"};
+        desc.names = {"x-id", "x-server", "last-id",  "x-refused",
+                      421,    "x-limit",  "x-leaving"};
         desc.decode = decode;
         desc.lease_ms = 600;
         desc.life = (int64_t)member().life;
@@ -965,10 +967,11 @@
     }
 }
 
-TEST(Jobs, LimitsThatServersNameAreNoted)
+TEST(Jobs, WhatServersSayOfThemselvesIsNoted)
 {
     Site site([&](int fd, const std::string &request) {
-        test_write(fd, "HTTP/1.1 422 No\r\nx-limit: 2.5\r\nx-id: " +
+        test_write(fd, "HTTP/1.1 422 No\r\nx-limit: 2.5\r\n"
+                       "x-leaving: 1\r\nx-id: " +
                            test_header(request, "x-id") +
                            "\r\ncontent-length: 0\r\n\r\n");
     });
@@ -976,7 +979,7 @@
 
     ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
     node.wait_for("j", 1);
-    EXPECT_EQ(site.store.limits, std::set<std::string>{"2.5"});
+    EXPECT_EQ(site.store.limits, std::set<std::string>{"2.5 leaving"});
 }
 
 /* The engine closes the connection within the third event. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -226,6 +226,7 @@
                   .last_event_id = protocol->last_event_id,
                   .refused_not_run = protocol->refused_not_run,
                   .request_limit = protocol->request_limit,
+                  .leaving = protocol->leaving,
                   .misdirected_status = protocol->misdirected_status},
         .decode = protocol->decode_job,
         .read_parts = protocol->read_parts,
--- a/packages/notices/notices.c
+++ b/packages/notices/notices.c
@@ -74,6 +74,13 @@
     return entry;
 }
 
+/* Whether a record tells more than that the server exists. */
+static bool
+says_something(const struct notices_record *record)
+{
+    return record->version > 0 || record->is_leaving;
+}
+
 static void
 note_change(struct notices_entry *entry, int64_t now_ms)
 {
@@ -94,6 +101,7 @@
     entry->record.server.started_ms = started_ms;
     entry->record.version = 0;
     entry->record.limit_per_s = NOTICES_NO_LIMIT;
+    entry->record.is_leaving = false;
     entry->learned_ms = 0;
     entry->rounds_left = 0;
 }
@@ -129,12 +137,35 @@
     return true;
 }
 
+/* Applies a response of a server that says that it leaves.  Returns whether
+ * that is new. */
+bool
+notices_observe_leaving(struct notices *notices,
+                        const struct notices_server *server)
+{
+    struct notices_entry *entry = find(notices, server->name);
+
+    if (entry == NULL) {
+        entry = add(notices, server);
+    }
+    if (entry == NULL) {
+        return false;
+    }
+    if (is_restart(entry, server->started_ms)) {
+        restart(entry, server->started_ms);
+    }
+    if (entry->record.is_leaving) {
+        return false;
+    }
+    entry->record.is_leaving = true;
+    entry->rounds_left = BROADCAST_ROUNDS;
+    return true;
+}
+
+/* Whether the limit of `a` replaces that of `b`, of the same start. */
 static bool
 is_newer(const struct notices_record *a, const struct notices_record *b)
 {
-    if (a->server.started_ms != b->server.started_ms) {
-        return a->server.started_ms > b->server.started_ms;
-    }
     if (a->version != b->version) {
         return a->version > b->version;
     }
@@ -147,21 +178,34 @@
               int64_t now_ms)
 {
     struct notices_entry *entry = find(notices, record->server.name);
+    bool is_changed = false;
 
-    if (record->version == 0 || !(record->limit_per_s >= 0)) {
+    if (!says_something(record) || !(record->limit_per_s >= 0)) {
         return false;
     }
     if (entry == NULL) {
         entry = add(notices, &record->server);
     }
-    if (entry == NULL || !is_newer(record, &entry->record)) {
+    if (entry == NULL ||
+        record->server.started_ms < entry->record.server.started_ms) {
         return false;
     }
-    entry->record.server.started_ms = record->server.started_ms;
-    entry->record.version = record->version;
-    entry->record.limit_per_s = record->limit_per_s;
-    note_change(entry, now_ms);
-    return true;
+    if (is_restart(entry, record->server.started_ms)) {
+        restart(entry, record->server.started_ms);
+    }
+    if (is_newer(record, &entry->record)) {
+        entry->record.version = record->version;
+        entry->record.limit_per_s = record->limit_per_s;
+        is_changed = true;
+    }
+    if (record->is_leaving && !entry->record.is_leaving) {
+        entry->record.is_leaving = true;
+        is_changed = true;
+    }
+    if (is_changed) {
+        note_change(entry, now_ms);
+    }
+    return is_changed;
 }
 
 /* Returns the requests a second that a server takes, or NOTICES_NO_LIMIT. */
@@ -173,6 +217,15 @@
     return entry == NULL ? NOTICES_NO_LIMIT : entry->record.limit_per_s;
 }
 
+/* Returns whether a server has said that it leaves. */
+bool
+notices_is_leaving(const struct notices *notices, const char *server)
+{
+    const struct notices_entry *entry = find(notices, server);
+
+    return entry != NULL && entry->record.is_leaving;
+}
+
 /* Copies a server's record; false if there is none. */
 bool
 notices_find(const struct notices *notices, const char *server,
@@ -180,7 +233,7 @@
 {
     const struct notices_entry *entry = find(notices, server);
 
-    if (entry == NULL || entry->record.version == 0) {
+    if (entry == NULL || !says_something(&entry->record)) {
         return false;
     }
     *out = entry->record;
@@ -200,7 +253,7 @@
     g_hash_table_iter_init(&iter, notices->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct notices_entry *entry = value;
-        if (entry->record.version == 0 ||
+        if (!says_something(&entry->record) ||
             (!is_all && entry->rounds_left == 0)) {
             continue;
         }
@@ -263,13 +316,14 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct notices_entry *entry = value;
         const struct notices_record *record = &entry->record;
-        uint64_t numbers[3];
-        if (entry->missing_since_ms != 0 || record->version == 0) {
+        uint64_t numbers[4];
+        if (entry->missing_since_ms != 0 || !says_something(record)) {
             continue;
         }
         numbers[0] = (uint64_t)record->server.started_ms;
         numbers[1] = record->version;
         memcpy(&numbers[2], &record->limit_per_s, sizeof(numbers[2]));
+        numbers[3] = record->is_leaving;
         digest += base_hash(numbers, sizeof(numbers),
                             base_hash_text(record->server.name, 0));
     }
--- a/packages/notices/notices.h
+++ b/packages/notices/notices.h
@@ -12,7 +12,8 @@
  *
  * All nodes come to the same record of a server, in whatever order records
  * arrive: one of a later start of the server wins, then the one with the
- * higher version, then the lower limit.
+ * higher version, then the lower limit.  A server that has said that it leaves
+ * does so until its next start, whatever later records say.
  *
  * The package reads no clock and does no input or output.  It takes no locks;
  * one thread at a time may use it.
@@ -41,9 +42,10 @@
 
 struct notices_record {
     struct notices_server server;
-    uint64_t version;   /* of the record; each change raises it by 1 */
+    uint64_t version;   /* of the limit; each change raises it by 1 */
     double limit_per_s; /* requests a second that the server takes from all
                            nodes together */
+    bool is_leaving;    /* it takes no new work until it starts again */
 };
 
 struct notices {
@@ -56,9 +58,12 @@
 bool notices_observe(struct notices *notices,
                      const struct notices_server *server, double limit_per_s,
                      int64_t sent_ms, int64_t now_ms);
+bool notices_observe_leaving(struct notices *notices,
+                             const struct notices_server *server);
 bool notices_merge(struct notices *notices,
                    const struct notices_record *record, int64_t now_ms);
 double notices_limit(const struct notices *notices, const char *server);
+bool notices_is_leaving(const struct notices *notices, const char *server);
 bool notices_find(const struct notices *notices, const char *server,
                   struct notices_record *out);
 GArray *notices_take(struct notices *notices, bool is_all);
--- a/packages/notices/test_notices.cc
+++ b/packages/notices/test_notices.cc
@@ -126,7 +126,7 @@
 
     for (const auto &c : CASES) {
         records.push_back(
-            {make_server("s", c.started_ms), c.version, c.limit});
+            {make_server("s", c.started_ms), c.version, c.limit, false});
     }
     for (int i = 0; i < 200; i++) {
         Notices notices;
@@ -139,6 +139,39 @@
     }
 }
 
+TEST(Notices, AServerThatLeavesDoesSoUntilItsNextStart)
+{
+    static const struct {
+        const char *what;
+        struct notices_record record;
+        bool is_leaving;
+    } CASES[] = {
+        {"a later limit", {make_server("s", 100), 9, 3, false}, true},
+        {"an earlier start", {make_server("s", 50), 9, 3, false}, true},
+        {"its next start", {make_server("s", 200), 1, 3, false}, false},
+        {"its next start, which leaves",
+         {make_server("s", 200), 0, NOTICES_NO_LIMIT, true},
+         true},
+    };
+
+    for (const auto &c : CASES) {
+        Notices notices;
+        Notices other;
+        struct notices_record record;
+        EXPECT_TRUE(notices_observe_leaving(&notices.raw, &SERVER));
+        EXPECT_FALSE(notices_observe_leaving(&notices.raw, &SERVER));
+        record = notices.record();
+        notices_merge(&notices.raw, &c.record, 20);
+        EXPECT_EQ(notices_is_leaving(&notices.raw, "s"), c.is_leaving)
+            << c.what;
+        /* The same in the other order. */
+        notices_merge(&other.raw, &c.record, 20);
+        notices_merge(&other.raw, &record, 30);
+        EXPECT_EQ(notices_is_leaving(&other.raw, "s"), c.is_leaving) << c.what;
+        EXPECT_EQ(notices_digest(&notices.raw), notices_digest(&other.raw));
+    }
+}
+
 TEST(Notices, ARestartedServerHasNoLimit)
 {
     Notices notices;
@@ -195,7 +228,7 @@
 
     for (const auto &c : CASES) {
         Notices notices;
-        struct notices_record record = {SERVER, c.version, c.limit};
+        struct notices_record record = {SERVER, c.version, c.limit, false};
         EXPECT_FALSE(notices_merge(&notices.raw, &record, 10));
         EXPECT_EQ(notices_limit(&notices.raw, "s"), NOTICES_NO_LIMIT);
     }
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -3137,7 +3137,7 @@
   (ProtobufCMessageInit) control__recalled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__server_notice__field_descriptors[4] =
+static const ProtobufCFieldDescriptor control__server_notice__field_descriptors[5] =
 {
   {
     "server",
@@ -3187,8 +3187,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Control__ServerNotice, is_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__server_notice__field_indices_by_name[] = {
+  4,   /* field[4] = is_leaving */
   3,   /* field[3] = limit_per_s */
   0,   /* field[0] = server */
   1,   /* field[1] = started_ms */
@@ -3197,7 +3210,7 @@
 static const ProtobufCIntRange control__server_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor control__server_notice__descriptor =
 {
@@ -3207,7 +3220,7 @@
   "Control__ServerNotice",
   "control",
   sizeof(Control__ServerNotice),
-  4,
+  5,
   control__server_notice__field_descriptors,
   control__server_notice__field_indices_by_name,
   1,  control__server_notice__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -462,10 +462,11 @@
    * infinite: no limit 
    */
   double limit_per_s;
+  protobuf_c_boolean is_leaving;
 };
 #define CONTROL__SERVER_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__server_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Control__ServerNotices
