Take no server from a registration with an id, host or slots out of range

What could happen: an id of 64 bytes or more was cut off in the owner's table, so that each change of the configuration put a second controller in place of the first, which its pool went on using: freed memory, in every node that read the list. Ids with line ends went into a request header; slots up to 2^31 - 1 overflowed the sums of a pool.

Cause: the registry trusted what the adapter could decode.

Change: registry.c checks id, host, port and slots; a registration at fault is logged (server.unreadable) and names no server.

Evidence: ControlPlatform.AnOddEntryNamesNoServerAndTheOthersStayInUse.

--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -10,6 +10,9 @@
      * each server still sends its next heartbeat in time. */
     MIN_LAPSE_OUTAGE_MS = 1000,
     MAX_ENTRIES = 20000,
+    /* Requests that a server may run at once, far more than any does: sums
+     * over a site's servers must stay in range. */
+    MAX_SLOTS = 65536,
 };
 
 /* The entry of one server, at the latest revision known. */
@@ -124,6 +127,46 @@
     return hash;
 }
 
+/* Returns what makes a registration unusable, or NULL.  Any program may have
+ * written it.  The id is sent to the server in a header, and messages and
+ * tables between nodes bound its length. */
+static const char *
+find_fault(const struct world_registration *server)
+{
+    size_t length = strlen(server->id);
+
+    if (length == 0 || length >= CONTROL_SERVER_SIZE) {
+        return "the id is empty or too long";
+    }
+    for (size_t i = 0; i < length; i++) {
+        if (!g_ascii_isgraph(server->id[i])) {
+            return "the id is not printable";
+        }
+    }
+    if (!g_hostname_is_ip_address(server->host)) {
+        return "the host is not an IP address";
+    }
+    if (server->port <= 0 || server->port > UINT16_MAX) {
+        return "the port is out of range";
+    }
+    if (server->slots <= 0 || server->slots > MAX_SLOTS) {
+        return "the number of slots is out of range";
+    }
+    return NULL;
+}
+
+static void
+check_registration(struct control_registered *entry, struct base_error *err)
+{
+    const char *fault = find_fault(&entry->server);
+
+    if (fault != NULL) {
+        base_error_set(err, BASE_INVALID, "%s", fault);
+        world_registration_finish(&entry->server);
+        entry->is_server = false;
+    }
+}
+
 static void
 decode_value(struct control *control, struct control_registered *entry)
 {
@@ -137,6 +180,9 @@
     text = g_bytes_get_data(entry->value, &size);
     entry->is_server = control->source->decode_server(entry->key, text, size,
                                                       &entry->server, &err);
+    if (entry->is_server) {
+        check_registration(entry, &err);
+    }
     if (!entry->is_server) {
         base_log(BASE_LOG_WARNING, "server.unreadable",
                  "key=%s revision=%" G_GINT64_FORMAT " error=\"%s\"",
--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -369,20 +369,22 @@
     return site;
 }
 
-/* A server's entry is "ready" or "draining". */
+/* A server's entry is "ready" or "draining", or its slots or its host. */
 bool
 decode_server(const char *key, const char *text, size_t size,
               struct world_registration *out, struct base_error *err)
 {
     (void)err;
     memset(out, 0, sizeof(*out));
+    std::string value(text, size);
     out->id = g_strdup(key);
     out->service = g_strdup("desk");
-    out->host = g_strdup("127.0.0.1");
+    out->host =
+        g_strdup(value.find("host ") == 0 ? value.c_str() + 5 : "127.0.0.1");
     out->zone = g_strdup("etela-a");
     out->port = 9001;
-    out->slots = 8;
-    out->is_draining = std::string(text, size) == "draining";
+    out->slots = value.find("slots ") == 0 ? atoi(value.c_str() + 6) : 8;
+    out->is_draining = value == "draining";
     return true;
 }
 
@@ -581,6 +583,45 @@
     EXPECT_TRUE(cluster.all_use_servers(2));
 }
 
+TEST(ControlPlatform, AnOddEntryNamesNoServerAndTheOthersStayInUse)
+{
+    static const struct {
+        std::string key;
+        const char *text;
+    } CASES[] = {
+        {"servers/" + std::string(80, 'a') + "1", "ready"},
+        {"servers/" + std::string(80, 'a') + "2", "ready"},
+        {"servers/a\r\nx-injected: 1", "ready"},
+        {"servers/a\x01", "ready"},
+        {"servers/a b", "ready"},
+        {"servers/slots", "slots 2147483647"},
+        {"servers/none", "slots 0"},
+        {"servers/host", "host 127.0.0.1\r\nx-injected: 1"},
+        {"servers/name", "host odd.example"},
+    };
+    Cluster cluster;
+
+    cluster.use_site({"servers/s0"});
+    for (const auto &c : CASES) {
+        cluster.platform.put_server(c.key, c.text);
+    }
+    cluster.add(2);
+    EXPECT_TRUE(cluster.all_use_servers(1));
+    /* They may come and go at any time. */
+    for (const auto &c : CASES) {
+        cluster.platform.put_server(c.key, c.text);
+    }
+    cluster.platform.put_server("servers/s1", "ready");
+    EXPECT_TRUE(cluster.all_use_servers(2));
+    for (int i = 0; i < 2; i++) {
+        EXPECT_EQ(cluster.task
+                      .admission(cluster.nodes[(size_t)i]->control,
+                                 "servers/s1", CONTRACTS_ONLINE_SHORT)
+                      ->answer,
+                  CONTRACTS_GRANTED);
+    }
+}
+
 /* A server that registers while another node's listing is under way must not
  * be removed for not being in it. */
 TEST(ControlPlatform, ListingRemovesNoServerThatRegisteredAfterIt)
