--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -541,6 +541,52 @@
     EXPECT_EQ(answer.headers["x-proof"], "");
 }
 
+/* The refusal belongs to another request, or follows the whole answer. */
+TEST_F(Ingress, AnEarlierRefusalIsNotTakenForTheAnswer)
+{
+    static const struct {
+        const char *what;
+        const char *before, *after; /* of the answer "ok" */
+        int status;
+    } CASES[] = {
+        {"before it",
+         "HTTP/1.1 503 Busy\r\nx-refused: 1\r\nx-id: other\r\n"
+         "content-length: 0\r\n\r\n",
+         "", 502},
+        {"after it", "",
+         "HTTP/1.1 503 Busy\r\nx-refused: 1\r\nx-id: other\r\n"
+         "content-length: 0\r\n\r\n",
+         200},
+    };
+    std::atomic<int> n_runs{0};
+    const char *before = "";
+    const char *after = "";
+    auto script = [&](int fd, const std::string &request) {
+        n_runs++;
+        test_write(fd, before +
+                           std::string("HTTP/1.1 200 OK\r\nx-proof: p\r\n"
+                                       "x-id: ") +
+                           test_header(request, "x-id") +
+                           "\r\ncontent-length: 2\r\n\r\nok" + after);
+    };
+    struct test_server one(script);
+    struct test_server two(script);
+
+    kind = WORLD_INGRESS_UNSAFE;
+    begin({&one, &two});
+    for (const auto &c : CASES) {
+        before = c.before;
+        after = c.after;
+        for (int i = 0; i < 3; i++) {
+            n_runs = 0;
+            struct answer answer = ask(post("/a/x", "b"));
+            EXPECT_EQ(answer.status, c.status) << c.what;
+            EXPECT_NE(answer.headers["x-cardamompick-ran"], "no") << c.what;
+            EXPECT_EQ(n_runs, 1) << c.what;
+        }
+    }
+}
+
 TEST_F(Ingress, RespondsWith504AfterTheRoutesTimeout)
 {
     struct test_server engine(
