--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -7,6 +7,7 @@
  *   codec.c          encoding and decoding of messages between nodes
  *   dispatch.c       sending messages and dispatching received ones
  *   gossip.c         sending and receiving membership messages
+ *   rounds.c         broadcast rounds
  *   owned_servers.c  which servers this node owns
  *   owner.c          admissions and contracts of owned servers
  *   audit.c          checking old contracts with their holders
@@ -354,6 +355,10 @@
                             const struct wire_message *message);
 void control_gossip_leave(struct control *control, bool has_left);
 
+/* rounds.c */
+void control_send_round(struct control *control, enum control_kind kind,
+                        const struct control_bytes *bytes);
+
 /* owner.c */
 void control_owner_init(struct control *control);
 void control_owner_finish(struct control *control);
--- a/packages/control/prompt_parts.c
+++ b/packages/control/prompt_parts.c
@@ -1,7 +1,6 @@
 #include "control/control_private.h"
 
 enum {
-    FANOUT = 3,       /* peers that a round of changes goes to */
     ROUND_MS = 100,   /* between rounds; equals the tick of an idle task */
     EXPIRY_MS = 1000, /* between looks for records that may be dropped */
     MAX_CRASHES = 1 << 20, /* in one record; far more than can happen */
@@ -214,14 +213,12 @@
 
 static void
 send_records(struct control *control, const GArray *records,
-             const char *const *addresses, int n_addresses)
+             const char *address)
 {
     struct control_bytes bytes = pack_records(records);
 
-    for (int i = 0; i < n_addresses; i++) {
-        wire_send(&control->endpoint, addresses[i], CONTROL_PROMPT_PARTS,
-                  bytes.data, bytes.size);
-    }
+    wire_send(&control->endpoint, address, CONTROL_PROMPT_PARTS, bytes.data,
+              bytes.size);
     g_free(bytes.data);
 }
 
@@ -245,7 +242,7 @@
     GArray *records = take_records(control, true);
 
     if (records != NULL) {
-        send_records(control, records, &address, 1);
+        send_records(control, records, address);
         g_array_free(records, TRUE);
     }
 }
@@ -254,19 +251,15 @@
 broadcast_round(struct control *control)
 {
     GArray *records = take_records(control, false);
-    const struct members_node *peers[FANOUT];
-    const char *addresses[FANOUT];
-    int n_peers;
+    struct control_bytes bytes;
 
     if (records == NULL) {
         return;
     }
     control->prompt_parts.next_round_ms = control->now_ms + ROUND_MS;
-    n_peers = members_pick(control->members, FANOUT, peers);
-    for (int i = 0; i < n_peers; i++) {
-        addresses[i] = peers[i]->control_address;
-    }
-    send_records(control, records, addresses, n_peers);
+    bytes = pack_records(records);
+    control_send_round(control, CONTROL_PROMPT_PARTS, &bytes);
+    g_free(bytes.data);
     g_array_free(records, TRUE);
 }
 
--- a/packages/control/server_notices.c
+++ b/packages/control/server_notices.c
@@ -4,7 +4,6 @@
  * something new tells the server's owner at once, which has to act on it, and
  * all nodes in rounds, since each of them may own the server next. */
 enum {
-    FANOUT = 3,     /* peers that a round of changes goes to */
     ROUND_MS = 100, /* between rounds; equals the tick of an idle task */
 };
 
@@ -97,14 +96,12 @@
 
 static void
 send_records(struct control *control, const GArray *records,
-             const char *const *addresses, int n_addresses)
+             const char *address)
 {
     struct control_bytes bytes = pack_records(records);
 
-    for (int i = 0; i < n_addresses; i++) {
-        wire_send(&control->endpoint, addresses[i], CONTROL_SERVER_NOTICES,
-                  bytes.data, bytes.size);
-    }
+    wire_send(&control->endpoint, address, CONTROL_SERVER_NOTICES, bytes.data,
+              bytes.size);
     g_free(bytes.data);
 }
 
@@ -154,7 +151,7 @@
     GArray *records = take_records(control, true);
 
     if (records != NULL) {
-        send_records(control, records, &address, 1);
+        send_records(control, records, address);
         g_array_free(records, TRUE);
     }
 }
@@ -178,7 +175,7 @@
     address = control_node_address(control, owner);
     records = g_array_new(FALSE, FALSE, sizeof(record));
     g_array_append_val(records, record);
-    send_records(control, records, &address, 1);
+    send_records(control, records, address);
     g_array_free(records, TRUE);
 }
 
@@ -186,19 +183,15 @@
 broadcast_round(struct control *control)
 {
     GArray *records = take_records(control, false);
-    const struct members_node *peers[FANOUT];
-    const char *addresses[FANOUT];
-    int n_peers;
+    struct control_bytes bytes;
 
     if (records == NULL) {
         return;
     }
     control->server_notices.next_round_ms = control->now_ms + ROUND_MS;
-    n_peers = members_pick(control->members, FANOUT, peers);
-    for (int i = 0; i < n_peers; i++) {
-        addresses[i] = peers[i]->control_address;
-    }
-    send_records(control, records, addresses, n_peers);
+    bytes = pack_records(records);
+    control_send_round(control, CONTROL_SERVER_NOTICES, &bytes);
+    g_free(bytes.data);
     g_array_free(records, TRUE);
 }
 
