Take no leaving server for one that named a limit

What callers saw: in an overload of a pool with a server that leaves, requests could be refused early as if servers had named limits. Found by reading.

Cause: the rate of a leaving server is 0, which is finite, as limits are.

Change: only a rate above 0 is a limit.

Evidence: Pace.ALeavingServerDoesNotCountAsOneWithALimit; its second case fails without the change.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -230,7 +230,8 @@
  * is full: the server runs only online requests, as many as it has slots. */
 bool
 contracts_controller_may_queue(const struct contracts_controller *controller);
-/* Returns the requests a second that the server gets; INFINITY: any number. */
+/* Returns the requests a second that the server gets; INFINITY: any number; 0:
+ * none, as it leaves. */
 double
 contracts_controller_rate(const struct contracts_controller *controller);
 /* Returns whether the server has named a limit and may get no request now. */
--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -124,7 +124,7 @@
     for (guint i = 0; i < pool->servers->len; i++) {
         const struct pool_server *server = pool->servers->pdata[i];
         double own = contracts_controller_rate(server->controller);
-        has_limit = has_limit || !isinf(own);
+        has_limit = has_limit || (own > 0 && !isinf(own));
         rate += own;
     }
     if (!isinf(rate)) {
--- a/packages/contracts/test_pace.cc
+++ b/packages/contracts/test_pace.cc
@@ -258,6 +258,35 @@
     }
 }
 
+TEST(Pace, ALeavingServerDoesNotCountAsOneWithALimit)
+{
+    static const struct {
+        double limit; /* of one of two servers */
+        bool is_leaving;
+        bool is_refused; /* at once, in an overload */
+    } CASES[] = {
+        {INFINITY, false, false}, {INFINITY, true, false}, {1, false, true}};
+
+    for (const auto &c : CASES) {
+        std::vector<std::vector<int64_t>> sent(2);
+        Owner owner(sent, 0);
+        contracts_controller_set_limit(owner.controllers[0], c.limit, 0,
+                                       owner.events);
+        if (c.is_leaving) {
+            contracts_controller_drain(owner.controllers[0], 0, owner.events);
+        }
+        /* 30 requests come in each 100 ms, until the overload is noticed. */
+        for (int64_t now_ms = 0; now_ms < 2000; now_ms += TICK_MS) {
+            owner.tick(now_ms);
+            for (int i = 0; i < 6; i++) {
+                owner.admit(CONTRACTS_ONLINE_SHORT, 60000, 300, now_ms);
+            }
+        }
+        EXPECT_EQ(owner.last_retry_ms > 0, c.is_refused)
+            << c.limit << " " << c.is_leaving;
+    }
+}
+
 TEST(Pace, BatchIsNotPreemptedWhenTheLimitLeavesNoRequest)
 {
     std::vector<std::vector<int64_t>> sent(1);
