Apply the configuration once when a server says that it leaves

Cause: the update of owned servers marked the configuration as changed while a server was leaving, and so ran again and again. Found by reading; costs processor time only, and no test plays it.

Change: only a new record marks it.

Measured: the tests of control pass.

--- a/packages/control/owner.c
+++ b/packages/control/owner.c
@@ -638,8 +638,6 @@
                                        control_server_limit(control, server),
                                        control->now_ms, control->owner.events);
         control_owner_deliver(control, owned);
-        control->is_changed =
-            control->is_changed || control_has_said_leaving(control, server);
     }
 }
 
--- a/packages/control/server_notices.c
+++ b/packages/control/server_notices.c
@@ -197,6 +197,17 @@
 
 /* ---- changes ---- */
 
+/* Applies what is new of a server.  One that leaves is drained with the next
+ * changes of the configuration and the membership. */
+static void
+apply_record(struct control *control, const struct notices_record *record,
+             const char *from)
+{
+    log_change(record, from);
+    control_owner_apply_notice(control, record->server.name);
+    control->is_changed = control->is_changed || record->is_leaving;
+}
+
 static int64_t
 started_ms_of(const struct control *control, const char *server)
 {
@@ -233,8 +244,7 @@
                            control->now_ms);
     g_mutex_unlock(&control->server_notices.lock);
     if (is_new) {
-        log_change(&record, sender);
-        control_owner_apply_notice(control, record.server.name);
+        apply_record(control, &record, sender);
     }
 }
 
@@ -288,8 +298,7 @@
     g_mutex_unlock(&control->server_notices.lock);
     if (is_changed && find_record(control, server.name, &record)) {
         base_counter_add(control->server_notices.changes, 1);
-        log_change(&record, "response");
-        control_owner_apply_notice(control, server.name);
+        apply_record(control, &record, "response");
         send_to_owner(control, server.name);
     }
     base_call_reply(call);
