Let attempts outlive servers that are removed during admission

Cause: tells the owner which servers of the attempt it must not grant, and the attempt may have noted a server that has left the configuration, whose index is -1.

Change: such a server isn't noted.

Evidence: Ingress.AServerThatIsRemovedDuringAdmissionIsReplaced failed before (a caller got no 200).

--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -21,10 +21,12 @@
     return attempt->exchange->request->deadline_ms - base_clock_ms();
 }
 
+/* Excludes a server and its pool.  WORLD_NONE, a server that has left the
+ * configuration, changes nothing. */
 static void
 note_tried(struct place_request *choice, int server)
 {
-    if (choice->n_tried < PLACE_MAX_TRIED) {
+    if (server != WORLD_NONE && choice->n_tried < PLACE_MAX_TRIED) {
         choice->tried[choice->n_tried++] = server;
     }
 }
@@ -184,6 +186,9 @@
 static void
 note_failed(struct place_request *choice, int server)
 {
+    if (server == WORLD_NONE) {
+        return;
+    }
     note_tried(choice, server);
     if (choice->n_tried > choice->n_failed) {
         int last = choice->n_tried - 1;
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -68,6 +68,7 @@
     int max_attempts = 2;
     int64_t timeout_ms = 5000;
     std::string address;
+    std::string engine_prefix = "e"; /* of the names of servers */
 
     /* Starts the front; without engines it gets no configuration. */
     void
@@ -129,7 +130,7 @@
         routes[0].max_attempts = max_attempts;
         routes[0].is_resumable = is_resumable;
         for (size_t i = 0; i < engines.size(); i++) {
-            names.push_back("e" + std::to_string(i + 1));
+            names.push_back(engine_prefix + std::to_string(i + 1));
         }
         for (size_t i = 0; i < engines.size(); i++) {
             servers[i].id = (char *)names[i].c_str();
@@ -541,6 +542,31 @@
     EXPECT_EQ(answer.headers["x-proof"], "");
 }
 
+/* The server is no longer in the configuration when its owner answers. */
+TEST_F(Ingress, AServerThatIsRemovedDuringAdmissionIsReplaced)
+{
+    struct test_server engine(serve_stream);
+    begin({&engine});
+    for (enum contracts_answer answer :
+         {CONTRACTS_UNAVAILABLE, CONTRACTS_REFUSED, CONTRACTS_GRANTED}) {
+        fakes.delays_admissions = true;
+        fakes.answers = {answer};
+        int fd = test_connect(port);
+        test_write(fd, post("/a/x", "b"));
+        while (true) {
+            std::lock_guard<std::mutex> hold(fakes.lock);
+            if (!fakes.delayed_admissions.empty()) {
+                break;
+            }
+        }
+        engine_prefix += "n";
+        front_update(front, make_site({&engine}), nullptr);
+        fakes_answer_delayed();
+        EXPECT_EQ(test_read_answer(fd).status, 200) << answer;
+        close(fd);
+    }
+}
+
 /* The refusal belongs to another request, or follows the whole answer. */
 TEST_F(Ingress, AnEarlierRefusalIsNotTakenForTheAnswer)
 {
