--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -560,7 +560,9 @@
             }
         }
         engine_prefix += "n";
-        front_update(front, make_site({&engine}), nullptr);
+        struct world *next = make_site({&engine});
+        front_update(front, next, nullptr);
+        world_unref(next);
         fakes_answer_delayed();
         EXPECT_EQ(test_read_answer(fd).status, 200) << answer;
         close(fd);
