Store the refusal of a job before it is sent if its home may still accept it

Cause: a front forwards a submission to the job's home. A home that gave no reply was taken for one that had refused, and the front answered by its own view. The suspended home read the message when it woke, found room and accepted the job. Nothing that the front did could make that fail.

Change: a forwarded submission has an identity. The home writes the head only on the condition that the store holds no refusal of that identity. A front that refuses a submission which another node may still serve stores the refusal first; if the job exists by then it answers 202, and if the store does not answer 504, which promises nothing. The rule stands in jobs_reply, so it covers a full route, a failed store, a draining node and a removed route. The forwarded end of a job gets 504 instead of 503 in the same case, and submissions are not sent a second time over a new connection, since the copies could be answered differently.

Evidence: Jobs.AJobThatWasRefusedWhileItsHomeWasFrozenNeverRuns failed before the fix in each of its cases (the job was stored and its item ran; "not run" was said without the store), and so did Jobs.AnEndThatAFrozenRunnerMayStillServeIsNotCalledUndone.

--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -87,14 +87,16 @@
     g_free(request);
 }
 
-/* Replies to a request, which returns it to its sender. */
+/* Replies to a request, which returns it to its sender.  A refusal may wait
+ * for the store first, see refusal.c. */
 void
 jobs_reply(struct jobs *jobs, struct jobs_request *request,
            enum jobs_status status)
 {
-    (void)jobs;
     request->status = status;
-    base_call_reply(&request->call);
+    if (!jobs_refusal_begin(jobs, request)) {
+        base_call_reply(&request->call);
+    }
 }
 
 /* Replies to a request whose call to the key-value service failed. */
@@ -437,6 +439,8 @@
 {
     jobs->counters = counters;
     jobs->n_accepted = base_counter(counters, "jobs_accepted_total");
+    jobs->n_refusals_stored =
+        base_counter(counters, "jobs_refusals_stored_total");
     jobs->n_completed = base_counter(counters, "job_items_completed_total");
     jobs->n_given_up = base_counter(counters, "job_items_given_up_total");
     jobs->n_claims = base_counter(counters, "jobs_claimed_total");
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -34,6 +34,7 @@
 
 enum {
     JOBS_ID_SIZE = 80,
+    JOBS_SUBMISSION_SIZE = 17, /* a random identity, hexadecimal */
     JOBS_MAX_ITEMS = 200,
     JOBS_MAX_WAIT_MS = 1000, /* longest delay of a read without results */
 };
@@ -114,6 +115,11 @@
     bool is_from_peer; /* from another node; not forwarded again */
     int n_forwards;    /* nodes that it has been forwarded to */
     char called_node[MEMBERS_NAME_SIZE]; /* the last of them */
+    /* A node that it was forwarded to gave no reply, and may serve it late. */
+    bool is_unanswered;
+    /* JOBS_SUBMIT: identity of this submission of the job; empty if it was
+     * never forwarded */
+    char submission[JOBS_SUBMISSION_SIZE];
     /* JOBS_CHECK */
     GArray *checks;        /* of struct jobs_check */
     char region[64];       /* the checks are of this region's jobs */
--- a/packages/jobs/jobs.pb-c.c
+++ b/packages/jobs/jobs.pb-c.c
@@ -206,7 +206,7 @@
   (ProtobufCMessageInit) jobs__check__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jobs__call__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jobs__call__field_descriptors[12] =
 {
   {
     "op",
@@ -340,6 +340,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "submission",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, submission),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jobs__call__field_indices_by_name[] = {
   3,   /* field[3] = after */
@@ -351,13 +363,14 @@
   6,   /* field[6] = path */
   9,   /* field[9] = region */
   10,   /* field[10] = revision */
+  11,   /* field[11] = submission */
   7,   /* field[7] = text */
   4,   /* field[4] = wait_ms */
 };
 static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jobs__call__descriptor =
 {
@@ -367,7 +380,7 @@
   "Jobs__Call",
   "jobs",
   sizeof(Jobs__Call),
-  11,
+  12,
   jobs__call__field_descriptors,
   jobs__call__field_indices_by_name,
   1,  jobs__call__number_ranges,
--- a/packages/jobs/jobs.pb-c.h
+++ b/packages/jobs/jobs.pb-c.h
@@ -74,10 +74,15 @@
    *revision of the store; 0: only some 
    */
   int64_t revision;
+  /*
+   * identity of a submission; it is accepted only if
+   *the store has no refusal of it 
+   */
+  char *submission;
 };
 #define JOBS__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jobs__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Jobs__Reply
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -6,6 +6,7 @@
  *   store.c      calls to the key-value service
  *   record.c     encoding and decoding of stored records
  *   submit.c     acceptance of jobs
+ *   refusal.c    refusals of requests that another node may still serve
  *   read.c       reads of results and inputs, and ends of jobs, also of jobs
  *                that other nodes run
  *   archive.c    results of ended jobs that other nodes ran
@@ -187,6 +188,7 @@
                                    it without a runner, of int64_t */
     /* metrics */
     struct base_counter *n_accepted;
+    struct base_counter *n_refusals_stored;
     struct base_counter *n_completed;
     struct base_counter *n_given_up;
     struct base_counter *n_claims;
@@ -228,6 +230,10 @@
                   void (*on_done)(struct jobs_request *request,
                                   void *task_state));
 
+/* ---- refusal.c ---- */
+
+bool jobs_refusal_begin(struct jobs *jobs, struct jobs_request *request);
+
 /* ---- submit.c and read.c ---- */
 
 void jobs_submit(struct jobs *jobs, struct jobs_request *request);
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -203,6 +203,14 @@
     return g_strconcat(JOBS_DONE_PREFIX, id, NULL);
 }
 
+/* Returns the key of the refusal of a submission of a job; the caller frees
+ * it. */
+char *
+jobs_refusal_key(const char *id, const char *submission)
+{
+    return g_strconcat(JOBS_REFUSAL_PREFIX, id, "/", submission, NULL);
+}
+
 /* Returns the key of a piece of input or results; the caller frees it.  Keys
  * sort by piece number. */
 char *
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -8,6 +8,9 @@
  *                      so that scans of open jobs stay short
  *   jobs/a/n/NODE#LIFE entry of a live runner, bound to its lease; LIFE is
  *                      the start time of the process, wall ms
+ *   jobs/x/ID/S        refusal of the submission S of a job: its absence is a
+ *                      condition of the acceptance, so that a node which
+ *                      receives the submission late does not accept it
  *   jobs/i/ID/N        submitted text, compressed and split into pieces
  *   jobs/r/ID/N        results in the order of their positions, compressed
  *   jobs/r/ID/partial  checkpoint: partial outputs and failure counts of
@@ -33,6 +36,7 @@
 /* Values of a runner's entry. */
 #define JOBS_RUNNER_READY "ready"
 #define JOBS_RUNNER_LEAVING "leaving" /* still has jobs, accepts none */
+#define JOBS_REFUSAL_PREFIX "jobs/x/"
 #define JOBS_INPUT_PREFIX "jobs/i/"
 #define JOBS_RESULTS_PREFIX "jobs/r/"
 
@@ -70,6 +74,7 @@
 
 char *jobs_head_key(const char *id);
 char *jobs_done_key(const char *id);
+char *jobs_refusal_key(const char *id, const char *submission);
 char *jobs_piece_key(const char *prefix, const char *id, int number);
 
 GBytes *jobs_results_encode(const GPtrArray *results);
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -74,6 +74,7 @@
 
     request->status = JOBS_REFUSED;
     if (answer->code != BASE_OK || !parse_reply(answer, request)) {
+        request->is_unanswered = true;
         base_log(BASE_LOG_INFO, "jobs.peer_silent", "id=%s peer=%s code=%s",
                  request->id, outgoing->address, base_code_name(answer->code));
     }
@@ -110,6 +111,7 @@
     message->wait_ms = request->wait_ms;
     message->region = (char *)request->region;
     message->revision = request->list_revision;
+    message->submission = (char *)request->submission;
     if (request->op == JOBS_SUBMIT) {
         message->host = request->job->host;
         message->path = request->job->path;
@@ -145,7 +147,9 @@
                      .timeout_ms = request->op == JOBS_SUBMIT
                                        ? SUBMIT_TIMEOUT_MS
                                        : request->wait_ms + REPLY_MARGIN_MS,
-                     .is_idempotent = true,
+                     /* A second copy of a submission could be accepted after
+                        the first one was refused. */
+                     .is_idempotent = request->op != JOBS_SUBMIT,
                      .answered = on_reply,
                      .context = outgoing,
                  });
@@ -244,7 +248,9 @@
 is_valid_call(const Jobs__Call *call)
 {
     return call != NULL && call->op <= JOBS_CHECK &&
-           (call->op != JOBS_SUBMIT || call->text.len > 0);
+           (call->op != JOBS_SUBMIT ||
+            (call->text.len > 0 &&
+             strlen(call->submission) < JOBS_SUBMISSION_SIZE));
 }
 
 static void
@@ -272,6 +278,8 @@
     request->wait_ms = CLAMP(call->wait_ms, 0, JOBS_MAX_WAIT_MS);
     request->is_from_peer = true;
     if (request->op == JOBS_SUBMIT) {
+        g_strlcpy(request->submission, call->submission,
+                  sizeof(request->submission));
         request->job = jobs_job_new(call->id);
         request->job->host = g_strdup(call->host);
         request->job->path = g_strdup(call->path);
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -9,6 +9,7 @@
     GPtrArray *requests; /* of struct jobs_request, for the same job */
     struct jobs_job *job;
     struct jobs_head head;
+    char identity[JOBS_SUBMISSION_SIZE]; /* of the first request; or empty */
     int64_t token_limit; /* waiting tokens of the route; 0: no limit */
 };
 
@@ -56,6 +57,25 @@
     }
 }
 
+/* The head was not written: the job exists, or the client has been told that
+ * it is refused. */
+static void
+finish_conflict(struct jobs *jobs, struct submission *submission,
+                const struct platform_kv *kv)
+{
+    struct base_error err = {0};
+
+    if (jobs_kv_find_head(kv, submission->head.id) != NULL ||
+        submission->identity[0] == '\0') {
+        finish_known(jobs, submission, kv);
+        return;
+    }
+    base_error_set(&err, BASE_UNAVAILABLE,
+                   "submission %s was refused by the node that forwarded it",
+                   submission->identity);
+    finish_submission(jobs, submission, JOBS_REFUSED, &err);
+}
+
 static void
 on_written(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -69,7 +89,7 @@
         finish_submission(jobs, submission, JOBS_OK, NULL);
         return;
     case PLATFORM_CONFLICT:
-        finish_known(jobs, submission, kv);
+        finish_conflict(jobs, submission, kv);
         return;
     case PLATFORM_LEASE_EXPIRED:
     case PLATFORM_UNAVAILABLE:
@@ -94,6 +114,12 @@
     submission->head.n_input_pieces = (int)pieces->len;
     platform_kv_expect(kv, head_key, PLATFORM_ABSENT);
     platform_kv_expect(kv, done_key, PLATFORM_ABSENT);
+    if (submission->identity[0] != '\0') {
+        char *refusal_key =
+            jobs_refusal_key(submission->job->id, submission->identity);
+        platform_kv_expect(kv, refusal_key, PLATFORM_ABSENT);
+        g_free(refusal_key);
+    }
     platform_kv_write(kv, head_key, jobs_head_encode(&submission->head), 0);
     for (guint i = 0; i < pieces->len; i++) {
         char *key =
@@ -167,6 +193,8 @@
     g_ptr_array_add(submission->requests, request);
     submission->job = g_steal_pointer(&request->job);
     submission->token_limit = route->max_waiting_tokens;
+    g_strlcpy(submission->identity, request->submission,
+              sizeof(submission->identity));
     jobs_head_init(head, request->id);
     head->host = g_strdup(submission->job->host);
     head->path = g_strdup(submission->job->path);
@@ -218,7 +246,8 @@
 }
 
 /* The home refused the job or did not answer.  Accepting it here is safe even
- * if the home accepts it late, since only one head is written. */
+ * if the home accepts it late, since only one head is written.  Refusing it
+ * here is not, see refusal.c. */
 static void
 on_home_reply(struct jobs_request *request, void *task_state)
 {
@@ -275,9 +304,12 @@
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
     }
-    if (!request->is_from_peer && home != WORLD_NONE &&
-        jobs_forward(jobs, request, home, on_home_reply)) {
-        return;
+    if (!request->is_from_peer && home != WORLD_NONE) {
+        base_random_id(request->submission, sizeof(request->submission));
+        if (jobs_forward(jobs, request, home, on_home_reply)) {
+            return;
+        }
+        request->submission[0] = '\0';
     }
     submit_here(jobs, request, route);
 }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -51,6 +51,7 @@
 /* A node's connection to the fake service; stands for its platform task. */
 struct store_link {
     std::atomic<bool> is_cut{false};
+    std::atomic<bool> is_frozen{false}; /* blocks the task that calls */
     std::atomic<int> n_calls{0};
 };
 
@@ -310,6 +311,9 @@
 {
     static const struct base_call_ops OPS = {nullptr, kv_done, drop_kv};
     auto *link = (struct store_link *)platform;
+    while (link->is_frozen) {
+        g_usleep(1000);
+    }
     std::lock_guard<std::mutex> guard(fake->lock);
 
     kv->answered = answered;
@@ -489,7 +493,8 @@
     }
 
     struct world *
-    make_world(const std::vector<std::string> &names)
+    make_world(const std::vector<std::string> &names,
+               const char *prefix = "/b/")
     {
         struct world_site_split split = {(char *)"s", 1};
         struct world_site_route route = {};
@@ -505,7 +510,7 @@
 
         route.name = (char *)"jobs";
         route.host = (char *)"h";
-        route.prefix = (char *)"/b/";
+        route.prefix = (char *)prefix;
         route.kind = WORLD_INGRESS_BATCH;
         route.splits = &split;
         route.n_splits = 1;
@@ -1476,6 +1481,139 @@
     }
 }
 
+/* Returns a job id, beginning with the prefix, whose home is a node. */
+std::string
+id_with_home(Site &site, const std::string &prefix, const char *node)
+{
+    struct members_view *view = site.make_view(node);
+    struct jobs_homes homes;
+    std::string id;
+
+    jobs_homes_init(&homes, site.world, view, 0);
+    for (int i = 0; id.empty() || jobs_homes_find(&homes, id.c_str(),
+                                                  WORLD_NONE) != view->self;
+         i++) {
+        id = prefix + std::to_string(i);
+    }
+    jobs_homes_finish(&homes);
+    members_view_unref(view);
+    return id;
+}
+
+bool
+is_stored(const std::string &id)
+{
+    return !runner_of(id).empty();
+}
+
+/* A home is suspended with a forwarded job in its socket, and reads it only
+ * after the client has its answer.  Guards against jobs that run although
+ * every answer said that they do not. */
+TEST(Jobs, AJobThatWasRefusedWhileItsHomeWasFrozenNeverRuns)
+{
+    struct {
+        const char *name;
+        const char *full_job; /* its tokens fill the route, or "" */
+        bool is_store_lost;
+        bool is_route_removed;
+        enum jobs_status want;
+    } cases[] = {
+        {"the route is full", "a b", false, false, JOBS_FULL},
+        {"the route is removed", "", false, true, JOBS_NOT_ALLOWED},
+        {"the store cannot say whether it runs", "", true, false,
+         JOBS_UNCERTAIN},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::atomic<bool> is_blocked{true};
+        std::atomic<int> n_runs{0};
+        Site site(
+            [&](int fd, const std::string &request) {
+                n_runs += test_header(request, "x-id") == "c" ? 1 : 0;
+                while (is_blocked) {
+                    g_usleep(1000);
+                }
+                serve(fd, request);
+            },
+            250);
+        for (auto &member : site.members) {
+            member.address = free_address();
+        }
+        Node one(site, "n1");
+        Node two(site, "n2");
+        std::string first = id_with_home(site, "j", "n2");
+        std::string id = id_with_home(site, "k", "n1");
+        if (row.full_job[0] != '\0') {
+            ASSERT_EQ(two.submit(first.c_str(), row.full_job), JOBS_OK);
+        }
+        /* Both know the other node before one of them freezes. */
+        std::string known = id_with_home(site, "m", "n1");
+        ASSERT_EQ(two.submit(known.c_str(), "z"),
+                  row.full_job[0] != '\0' ? JOBS_FULL : JOBS_OK);
+        one.link.is_frozen = true;
+        two.link.is_cut = row.is_store_lost;
+        struct world *without_route = site.make_world({}, "/other/");
+        struct jobs_request *request =
+            jobs_request_new(JOBS_SUBMIT, id.c_str());
+        request->job = decode(id.c_str(), "c", 1, nullptr);
+        request->job->host = g_strdup("h");
+        request->job->path = g_strdup("/b/x");
+        std::thread remover([&] {
+            if (row.is_route_removed) {
+                g_usleep(500000); /* the job is at its home by then */
+                two.update(without_route);
+            }
+        });
+        EXPECT_EQ(two.call(request), row.want);
+        remover.join();
+        is_blocked = false;
+        if (row.full_job[0] != '\0') {
+            EXPECT_EQ(two.wait_for(first.c_str(), 2).size(), 2u);
+        }
+        one.link.is_frozen = false;
+        g_usleep(1000000);
+        if (row.want != JOBS_UNCERTAIN) {
+            EXPECT_FALSE(is_stored(id));
+            EXPECT_EQ(n_runs, 0);
+            /* The same job may come again, and is then accepted once. */
+            two.update(site.world);
+            EXPECT_EQ(two.submit(id.c_str(), "c"), JOBS_OK);
+            EXPECT_EQ(two.wait_for(id.c_str(), 1).size(), 1u);
+            EXPECT_EQ(n_runs, 1);
+        }
+        world_unref(without_route);
+    }
+}
+
+/* The end of a job was forwarded to its frozen runner, which serves it later.
+ * Guards against an answer that says that nothing was done. */
+TEST(Jobs, AnEndThatAFrozenRunnerMayStillServeIsNotCalledUndone)
+{
+    std::atomic<bool> is_blocked{true};
+    Site site([&](int fd, const std::string &request) {
+        while (is_blocked) {
+            g_usleep(1000);
+        }
+        serve(fd, request);
+    });
+    for (auto &member : site.members) {
+        member.address = free_address();
+    }
+    Node one(site, "n1");
+    Node two(site, "n2");
+    std::string id = id_with_home(site, "j", "n1");
+
+    ASSERT_EQ(two.submit(id.c_str(), "a"), JOBS_OK);
+    one.link.is_frozen = true;
+    two.link.is_cut = true;
+    g_usleep(500000); /* the runner makes a call within a renewal */
+    EXPECT_EQ(two.call(jobs_request_new(JOBS_END, id.c_str())),
+              JOBS_UNCERTAIN);
+    one.link.is_frozen = false;
+    is_blocked = false;
+}
+
 /* Waits for the next turn of scanners. */
 void
 wait_for_turn()
