Reject writes above the limits of the store, and tell them from an outage

A value above the store's limit is refused with a 4xx. The adapter and the etcd codec reported that as PLATFORM_UNAVAILABLE, like an outage, so writers repeated it for ever, and the log showed only jobs.store_failed.

Change: PLATFORM_REJECTED is a status of its own: sending the operation again does not help. The client knows the limits (platform_limits; value_bytes of the settings, from the site's template) and rejects what is above them without a call. Each rejection is logged with its key and size and counted. batch/job_check deleted a job's open record unless the write of the ended one was PLATFORM_UNAVAILABLE; it now asks for success or a conflict.

Tests: AWriteAboveTheLimitsIsRejectedWithoutACall (before, the client sent the value), cases of the write table and of the adapter.

--- a/packages/batch/job_check.c
+++ b/packages/batch/job_check.c
@@ -70,7 +70,7 @@
 {
     struct job_check *check = context;
 
-    if (kv->status == PLATFORM_UNAVAILABLE) {
+    if (kv->status != PLATFORM_OK && kv->status != PLATFORM_CONFLICT) {
         end_check(check, FIRST_WAIT_MS);
         return;
     }
@@ -86,7 +86,7 @@
 {
     struct job_check *check = context;
 
-    if (kv->status == PLATFORM_UNAVAILABLE) {
+    if (kv->status != PLATFORM_OK && kv->status != PLATFORM_CONFLICT) {
         end_check(check, FIRST_WAIT_MS);
         return;
     }
--- a/packages/jobs/refusal.c
+++ b/packages/jobs/refusal.c
@@ -43,6 +43,7 @@
         break;
     case PLATFORM_UNAVAILABLE:
     case PLATFORM_LEASE_EXPIRED:
+    case PLATFORM_REJECTED:
         request->err = kv->err;
         status = JOBS_UNCERTAIN;
         break;
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -373,6 +373,7 @@
         return;
     case PLATFORM_LEASE_EXPIRED:
     case PLATFORM_UNAVAILABLE:
+    case PLATFORM_REJECTED:
         /* The same commit is sent again, since it may have taken effect or
          * take effect late. */
         run->next_commit_ms = base_clock_ms() + RETRY_MS;
--- a/packages/jobs/store.c
+++ b/packages/jobs/store.c
@@ -16,7 +16,8 @@
     struct pending_call *call = kv->context;
 
     jobs->n_calls--;
-    if (kv->status == PLATFORM_UNAVAILABLE) {
+    if (kv->status == PLATFORM_UNAVAILABLE ||
+        kv->status == PLATFORM_REJECTED) {
         base_log(BASE_LOG_INFO, "jobs.store_failed",
                  "op=%d key=%s ran=%s error=\"%s\"", kv->op, kv->key,
                  base_verdict_name(kv->verdict), kv->err.text);
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -93,6 +93,7 @@
         return;
     case PLATFORM_LEASE_EXPIRED:
     case PLATFORM_UNAVAILABLE:
+    case PLATFORM_REJECTED:
         break;
     }
     /* If the write has taken effect, or does so late, the next scan finds the
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -93,6 +93,7 @@
         .dialect = settings->site.is_set ? node->adapter->store : NULL,
         .min_poll_ms = settings->site.is_set ? SITE_MIN_POLL_MS : 0,
         .calls_per_s = settings->site.is_set ? SITE_CALLS_PER_S : 0,
+        .limits = {.value_bytes = settings->value_bytes},
         .counters = &node->counters,
     };
 
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -12,6 +12,8 @@
     MAX_WATCHERS = 1000,
     MAX_PORT = 65535,
     MAX_CORES = 4096,
+    MIN_VALUE_BYTES = 4096, /* a page; a smaller store is a mistake */
+    MAX_VALUE_BYTES = 64 << 20,
     MAX_FOUND_CHARS = 60, /* shown of a refused name or value in an error */
 };
 
@@ -32,7 +34,8 @@
 static const char *const CPU_MEMBERS[] = {"share", "cores", NULL};
 static const char *const KEYS_MEMBERS[] = {"public", "secret", "peers", NULL};
 static const char *const ANNOUNCE_MEMBERS[] = {"control", "bulk", NULL};
-static const char *const PLATFORM_MEMBERS[] = {"kv", "hosts", "weights", NULL};
+static const char *const PLATFORM_MEMBERS[] = {"kv", "hosts", "weights",
+                                               "value_bytes", NULL};
 
 /* Sets err to the member's path, the value found and the values allowed.
  * `name` is NULL if `path` is already the member's; `value` is NULL if the
@@ -310,7 +313,9 @@
     return read_address(platform, "$.platform", "hosts", MEMBER_OPTIONAL,
                         &settings->hosts, err) &&
            read_address(platform, "$.platform", "weights", MEMBER_OPTIONAL,
-                        &settings->weights, err);
+                        &settings->weights, err) &&
+           read_number(platform, "$.platform", "value_bytes", MIN_VALUE_BYTES,
+                       MAX_VALUE_BYTES, &settings->value_bytes, err);
 }
 
 static bool
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -51,6 +51,8 @@
          "at least one IP:PORT"},
         {"[\"127.0.0.1:2379\"]", "[\"127.0.0.1\"]", "$.platform.kv[0]",
          "found \"127.0.0.1\"", "IP:PORT"},
+        {"[\"127.0.0.1:2379\"]", "[\"127.0.0.1:2379\"],\"value_bytes\":0",
+         "$.platform.value_bytes", "found 0", "from 4096 to 67108864"},
         {"\"platform\"", "\"policy\":\"fast\",\"platform\"", "$.policy",
          "found \"fast\"", "one of contracts, naive"},
         {"\"platform\"", "\"data_folder\":\"/d\",\"platform\"", "$.bulk",
--- a/packages/platform/codec.c
+++ b/packages/platform/codec.c
@@ -6,7 +6,8 @@
 
 /* A stored value is "w:<16 hexadecimal digits>\n", the identity of its write,
  * followed by the caller's bytes. */
-enum { ID_DIGITS = 16, ID_SIZE = 2 + ID_DIGITS + 1 };
+enum { ID_DIGITS = 16, ID_SIZE = PLATFORM_IDENTITY_BYTES };
+G_STATIC_ASSERT((int)ID_SIZE == 2 + (int)ID_DIGITS + 1);
 
 enum { MS_PER_S = 1000 };
 
@@ -510,6 +511,8 @@
 /* The gateway's error codes (gRPC status codes) that need handling. */
 enum { CODE_NOT_FOUND = 5, CODE_FAILED_PRECONDITION = 9 };
 
+enum { STATUS_TOO_MANY = 429 }; /* may succeed later, as no other 4xx */
+
 /* Decodes an error response.  After a server error (5xx) the operation may
  * have run, so it has no result. */
 static enum platform_decoded
@@ -534,7 +537,8 @@
         kv->verdict = may_have_run ? BASE_MAY_HAVE_RUN : BASE_NOT_RUN;
         return PLATFORM_DECODED;
     }
-    kv->status = PLATFORM_UNAVAILABLE;
+    kv->status =
+        status == STATUS_TOO_MANY ? PLATFORM_UNAVAILABLE : PLATFORM_REJECTED;
     kv->verdict = may_have_run ? BASE_MAY_HAVE_RUN : BASE_NOT_RUN;
     base_error_set(&kv->err, BASE_INVALID,
                    "the key-value service refused with status %d: %s", status,
--- a/packages/platform/internal.h
+++ b/packages/platform/internal.h
@@ -47,6 +47,7 @@
     int64_t call_timeout_ms;
     int64_t silence_ms;
     int64_t min_poll_ms;
+    struct platform_limits limits;
     const struct platform_dialect *dialect;
     struct base_counters *counters;
     struct platform_budget budget;
--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -43,6 +44,18 @@
     base_call_reply(&kv->call);
 }
 
+/* Logs an operation that was refused for good.  Its writer can't know how the
+ * value that is too large came about; the key tells. */
+static void
+log_rejected(struct platform *platform, const struct platform_kv *kv)
+{
+    base_log(BASE_LOG_WARNING, "kv.rejected",
+             "op=%d key=%s writes=%u ran=%s error=\"%s\"", kv->op, kv->key,
+             kv->writes != NULL ? kv->writes->len : 1,
+             base_verdict_name(kv->verdict), kv->err.text);
+    platform_count(platform, "kv_rejected_total", 1);
+}
+
 /* The deadline has passed: ends the operation.  The verdict says whether a
  * write may have taken effect. */
 static void
@@ -109,6 +122,9 @@
     switch (decoded) {
     case PLATFORM_DECODED:
         operation->kv->sent_ms = operation->attempt_sent_ms;
+        if (operation->kv->status == PLATFORM_REJECTED) {
+            log_rejected(operation->platform, operation->kv);
+        }
         reply(operation);
         return;
     case PLATFORM_DECODE_MORE:
@@ -180,16 +196,69 @@
            op == PLATFORM_LEASE_REVOKE;
 }
 
+static bool
+is_value_allowed(const struct platform *platform, struct platform_kv *kv,
+                 const char *key, GBytes *value)
+{
+    int64_t size = value == NULL ? 0 : (int64_t)g_bytes_get_size(value);
+
+    size += kv->is_plain ? 0 : PLATFORM_IDENTITY_BYTES;
+    if (size <= platform->limits.value_bytes) {
+        return true;
+    }
+    base_error_set(&kv->err, BASE_INVALID,
+                   "the value of %s would have %" PRId64 " bytes, %" PRId64
+                   " are allowed",
+                   key, size, platform->limits.value_bytes);
+    return false;
+}
+
+/* Returns whether an operation is within the service's limits; if not, sets
+ * kv->err. */
+static bool
+is_allowed(const struct platform *platform, struct platform_kv *kv)
+{
+    guint n_entries;
+
+    if (kv->op == PLATFORM_PUT_IF) {
+        return is_value_allowed(platform, kv, kv->key, kv->value);
+    }
+    if (kv->op != PLATFORM_TXN) {
+        return true;
+    }
+    n_entries = kv->conditions->len + kv->writes->len;
+    if (n_entries > (guint)platform->limits.txn_entries) {
+        base_error_set(&kv->err, BASE_INVALID,
+                       "the transaction has %u entries, %d are allowed",
+                       n_entries, platform->limits.txn_entries);
+        return false;
+    }
+    for (guint i = 0; i < kv->writes->len; i++) {
+        const struct platform_write *write = kv->writes->pdata[i];
+        if (!is_value_allowed(platform, kv, write->key, write->value)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 serve_kv(struct base_call *call, void *state)
 {
     struct platform *platform = state;
     struct platform_kv *kv = (struct platform_kv *)call;
-    struct platform_operation *operation =
-        g_new0(struct platform_operation, 1);
+    struct platform_operation *operation;
     int64_t timeout_ms =
         kv->timeout_ms > 0 ? kv->timeout_ms : platform->call_timeout_ms;
 
+    if (!is_allowed(platform, kv)) {
+        kv->status = PLATFORM_REJECTED;
+        kv->verdict = BASE_NOT_RUN;
+        log_rejected(platform, kv);
+        base_call_reply(&kv->call);
+        return;
+    }
+    operation = g_new0(struct platform_operation, 1);
     operation->platform = platform;
     operation->kv = kv;
     operation->deadline_ms = base_clock_ms() + timeout_ms;
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -14,10 +14,10 @@
  * When a response is lost, the client sends the same write again; if that
  * conflicts with a record that has the write's own identity, the write has
  * succeeded.  PLATFORM_OK and PLATFORM_CONFLICT are therefore reliable, and
- * with PLATFORM_UNAVAILABLE the verdict says whether the write may have taken
- * effect.  A PLATFORM_CONFLICT with the verdict BASE_MAY_HAVE_RUN means that
- * an earlier attempt of this write may have taken effect and another writer
- * may have replaced the record since.
+ * with PLATFORM_UNAVAILABLE and PLATFORM_REJECTED the verdict says whether the
+ * write may have taken effect.  A PLATFORM_CONFLICT with the verdict
+ * BASE_MAY_HAVE_RUN means that an earlier attempt of this write may have taken
+ * effect and another writer may have replaced the record since.
  *
  * Writes with PLATFORM_ANY replace the record at any revision, also when they
  * are sent again: use them only for records with one writer.  A plain write
@@ -49,6 +49,9 @@
     PLATFORM_CONFLICT,    /* `entries` has the current record, if any */
     PLATFORM_UNAVAILABLE, /* no result; see verdict and err */
     PLATFORM_LEASE_EXPIRED,
+    /* The service refuses this operation, or it is above the limits and was
+     * not sent: sending it again does not help; see verdict and err. */
+    PLATFORM_REJECTED,
 };
 
 /* Expected revisions: the key does not exist, or any revision. */
@@ -104,9 +107,20 @@
     struct base_error err;
 };
 
+/* What the key-value service takes in one operation.  Writers plan by these;
+ * the client rejects what is above them. */
+struct platform_limits {
+    int64_t value_bytes; /* of a value, which includes the write's identity */
+    int txn_entries; /* conditions and writes of a PLATFORM_TXN, together */
+};
+
+enum { PLATFORM_IDENTITY_BYTES = 19 }; /* stored in front of each value */
+
 struct platform;
 struct platform_dialect;
 
+const struct platform_limits *platform_limits(const struct platform *platform);
+
 struct platform_kv *platform_kv_new(enum platform_op op, const char *key);
 void platform_kv_free(struct platform_kv *kv);
 /* Adds a condition to a transaction.  The conditions must include the key of
@@ -210,6 +224,8 @@
     int64_t silence_ms;  /* longest time without data on a watch; 0: 3,000 */
     int calls_per_s;     /* limit for the key-value service; 0: 20 */
     int64_t min_poll_ms; /* least time between a watch's polls; 0: 500 */
+    /* value_bytes 0: 1 MiB; txn_entries 0: 32 */
+    struct platform_limits limits;
     const struct platform_dialect *dialect; /* NULL: platform_etcd */
     struct base_counters *counters;
 };
--- a/packages/platform/task.c
+++ b/packages/platform/task.c
@@ -7,6 +7,10 @@
     DEFAULT_TIMEOUT_MS = 2000,
     DEFAULT_SILENCE_MS = 3000,
     DEFAULT_CALLS_PER_S = 20,
+    /* Below etcd's limits, 1.5 MiB a request and 128 operations, and those of
+     * a site's store. */
+    DEFAULT_VALUE_BYTES = 1 << 20,
+    DEFAULT_TXN_ENTRIES = 32,
     DEFAULT_MIN_POLL_MS = 500,
     LOG_CALLS_MS = 10000, /* between log lines about calls */
     FIRST_BACKOFF_MS = 50,
@@ -305,6 +309,12 @@
         desc->silence_ms > 0 ? desc->silence_ms : DEFAULT_SILENCE_MS;
     platform->min_poll_ms =
         desc->min_poll_ms > 0 ? desc->min_poll_ms : DEFAULT_MIN_POLL_MS;
+    platform->limits.value_bytes = desc->limits.value_bytes > 0
+                                       ? desc->limits.value_bytes
+                                       : DEFAULT_VALUE_BYTES;
+    platform->limits.txn_entries = desc->limits.txn_entries > 0
+                                       ? desc->limits.txn_entries
+                                       : DEFAULT_TXN_ENTRIES;
     platform->dialect = desc->dialect != NULL ? desc->dialect : &platform_etcd;
     platform->counters = desc->counters;
     platform_budget_init(&platform->budget,
@@ -332,6 +342,14 @@
     g_free(platform);
 }
 
+/* Returns the limits of the key-value service; they never change.  May be
+ * called on any thread. */
+const struct platform_limits *
+platform_limits(const struct platform *platform)
+{
+    return &platform->limits;
+}
+
 /* Starts the task.  Fails with BASE_INTERNAL if the system's resources do not
  * suffice; unreachable endpoints do not make it fail. */
 struct platform *
--- a/packages/platform/test_fake_kv.h
+++ b/packages/platform/test_fake_kv.h
@@ -34,6 +34,7 @@
     CLOSES_WITHOUT_EFFECT,
     TAKES_EFFECT_THEN_SILENT, /* the same, but the connection stays open */
     FAILS_503,                /* without effect */
+    REJECTS_413,              /* without effect, and always will */
 };
 
 struct record {
@@ -243,6 +244,10 @@
             send_response(fd, 503, "{\"error\":\"no leader\",\"code\":14}");
             return;
         }
+        if (planned == REJECTS_413) {
+            send_response(fd, 413, "{\"error\":\"too large\",\"code\":3}");
+            return;
+        }
         if (before_effect) {
             before_effect(this);
         }
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -163,6 +163,16 @@
      PLATFORM_ABSENT,
      PLATFORM_OK,
      BASE_RAN},
+    {"rejected for good",
+     {REJECTS_413},
+     PLATFORM_ABSENT,
+     PLATFORM_REJECTED,
+     BASE_NOT_RUN},
+    {"connection lost, then rejected for good",
+     {CLOSES_WITHOUT_EFFECT, REJECTS_413},
+     PLATFORM_ABSENT,
+     PLATFORM_REJECTED,
+     BASE_MAY_HAVE_RUN},
     {"no answer to any attempt",
      std::vector<fault>(1000, TAKES_EFFECT_THEN_CLOSES), PLATFORM_ABSENT,
      PLATFORM_UNAVAILABLE, BASE_MAY_HAVE_RUN},
@@ -253,6 +263,59 @@
     }
 }
 
+/* Adds the write of a value of some bytes to a transaction. */
+void
+add_write(struct platform_kv *kv, const std::string &key, size_t size)
+{
+    std::string value(size, 'v');
+    platform_kv_write(kv, key.c_str(), g_bytes_new(value.data(), size), 0);
+}
+
+/* Guards against writers that send what the service can never take, for ever:
+ * the client knows the limits, and rejects the operation without a call. */
+TEST(Platform, AWriteAboveTheLimitsIsRejectedWithoutACall)
+{
+    const size_t largest = (1 << 20) - PLATFORM_IDENTITY_BYTES;
+    struct {
+        const char *name;
+        size_t value_bytes;
+        int n_writes;
+        int n_conditions;
+        enum platform_status want;
+    } cases[] = {
+        {"the largest value", largest, 1, 1, PLATFORM_OK},
+        {"a value too large by a byte", largest + 1, 1, 1, PLATFORM_REJECTED},
+        {"the most entries", 1, 16, 16, PLATFORM_OK},
+        {"an entry too many", 1, 16, 17, PLATFORM_REJECTED},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        FakeKv fake;
+        fake.start();
+        Client client({fake.address()});
+        struct platform_kv *kv = platform_kv_new(PLATFORM_TXN, "t");
+        for (int i = 0; i < row.n_conditions; i++) {
+            platform_kv_expect(kv, ("/k" + std::to_string(i)).c_str(),
+                               PLATFORM_ABSENT);
+        }
+        for (int i = 0; i < row.n_writes; i++) {
+            add_write(kv, "/k" + std::to_string(i), row.value_bytes);
+        }
+        EXPECT_EQ(client.call(kv)->status, row.want);
+        if (row.want == PLATFORM_REJECTED) {
+            EXPECT_EQ(client.answer->verdict, BASE_NOT_RUN);
+            EXPECT_EQ(fake.paths.size(), 0u);
+        }
+        kv = platform_kv_new(PLATFORM_PUT_IF, "/p");
+        kv->value =
+            g_bytes_new_take(g_malloc0(row.value_bytes), row.value_bytes);
+        kv->expect_revision = PLATFORM_ABSENT;
+        EXPECT_EQ(client.call(kv)->status,
+                  row.value_bytes > largest ? PLATFORM_REJECTED : PLATFORM_OK);
+    }
+}
+
 TEST(Platform, RefusedConnectionIsReportedAsNotRun)
 {
     std::string unused_address;
