Keep commits and checkpoints of jobs within the store's limits

An outage made it likely; items that finish within a second do the same.

Cause: a commit put all finished items into one value, and the checkpoint was one value, too. Above valueBytes the store refuses it with 413. The runner sent the same commit every 0.3 s for ever, and a release at a planned stop was refused as well, so that the next runner did the work again.

Change: a commit takes the results that fit into one piece before compression, and the next follows at once. A larger result is committed alone, after all others, and its text goes on in further pieces of the same transaction. Checkpoints have up to eight pieces; outputs that don't fit are left out. A release waits until all finished items are committed. If the store refuses a commit all the same, the next one is half as large, and this is logged and counted. A checkpoint that can't be decoded no longer keeps a job from being claimed.

Why it works: the piece size is derived from the limit with the growth that zstd may add, so no bytes make a value too large; 20 pieces of results, 8 of a checkpoint and the heads are 32 entries.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -35,23 +35,44 @@
     free_claim(claim);
 }
 
+/* Removes the last partial output if its text goes on in a piece that is
+ * missing. */
+static void
+drop_cut_off(GPtrArray *partials)
+{
+    if (!jobs_results_are_whole(partials)) {
+        g_ptr_array_set_size(partials, (gint)partials->len - 1);
+    }
+}
+
 static void
 on_results(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct claim *claim = context;
     struct base_error err = {0};
+    struct base_error partial_err = {0};
+    int n_partials = 0;
 
     claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
     claim->partials = g_ptr_array_new_with_free_func(jobs_result_free);
     for (guint i = 0; kv->status == PLATFORM_OK && i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
-        jobs_results_decode(entry->value,
-                            jobs_is_checkpoint_key(entry->key)
-                                ? claim->partials
-                                : claim->results,
-                            &err);
+        if (!jobs_is_checkpoint_key(entry->key)) {
+            jobs_results_decode(entry->value, claim->results, &err);
+            continue;
+        }
+        n_partials++;
+        if (partial_err.code == BASE_OK &&
+            !jobs_results_decode(entry->value, claim->partials,
+                                 &partial_err)) {
+            /* Its items start again. */
+            base_log_error("jobs.checkpoint_unreadable", &partial_err,
+                           "key=%s", entry->key);
+        }
     }
+    drop_cut_off(claim->partials);
     if (kv->status != PLATFORM_OK || err.code != BASE_OK ||
+        !jobs_results_are_whole(claim->results) ||
         claim->results->len != claim->head.listed->len) {
         abort_claim(jobs, claim, "its results cannot be read");
         return;
@@ -61,7 +82,7 @@
         struct jobs_run *run =
             jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
                            claim->revision, g_steal_pointer(&claim->results));
-        jobs_run_restore_checkpoint(run, claim->partials);
+        jobs_run_restore_checkpoint(run, claim->partials, n_partials);
     }
     g_hash_table_remove(jobs->pending_ids, claim->id);
     free_claim(claim);
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -441,6 +441,8 @@
     jobs->n_accepted = base_counter(counters, "jobs_accepted_total");
     jobs->n_refusals_stored =
         base_counter(counters, "jobs_refusals_stored_total");
+    jobs->n_commits_rejected =
+        base_counter(counters, "jobs_commits_rejected_total");
     jobs->n_completed = base_counter(counters, "job_items_completed_total");
     jobs->n_given_up = base_counter(counters, "job_items_given_up_total");
     jobs->n_claims = base_counter(counters, "jobs_claimed_total");
@@ -461,6 +463,7 @@
     g_snprintf(jobs->runner, sizeof(jobs->runner), "%s#%" G_GINT64_FORMAT,
                desc->node, desc->life > 0 ? desc->life : base_wall_ms());
     jobs->platform = desc->platform;
+    jobs->limits = platform_limits(desc->platform);
     jobs->control = desc->control;
     jobs->names = desc->names;
     jobs->decode = desc->decode;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -82,6 +82,7 @@
     bool is_completed;     /* false: the item was given up */
     char *text;            /* output; may contain zero bytes */
     size_t size;
+    bool is_partial; /* while stored pieces are decoded: the text goes on */
 };
 
 /* A page of a job's list of results. */
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -100,6 +100,10 @@
     int64_t give_up_at_ms;   /* when open items are given up, wall clock */
     GArray *committing; /* of int: indices of items in the pending commit */
     struct jobs_head next_head; /* head as the pending commit writes it */
+    GPtrArray *commit_pieces;   /* its results, encoded, of GBytes; or NULL */
+    int64_t piece_bytes;        /* of results and checkpoints, uncompressed */
+    bool has_more_results;      /* finished items do not fit into the commit */
+    bool is_commit_uncertain;   /* it may have taken effect without a reply */
     bool is_committing;
     bool is_releasing; /* the pending commit releases the job */
     bool has_stopped;  /* ended, lost or released: sends no more items */
@@ -107,7 +111,8 @@
      * node may have claimed the job.  Until that is known, results are not
      * served. */
     bool is_unconfirmed;
-    bool has_checkpoint;          /* a checkpoint is stored */
+    int n_checkpoint_pieces;      /* stored pieces of checkpoints, at most */
+    int n_sent_pieces;            /* of the checkpoint sent last */
     int n_references;             /* pending calls that refer to the run */
     int64_t next_commit_ms;       /* earliest time of the next commit */
     int64_t last_commit_ms;       /* or the start of the run */
@@ -143,6 +148,7 @@
                        const void *context, struct quarantine_parts *out);
     struct jobs_job *(*decode)(const char *id, const char *text, size_t size,
                                struct base_error *err);
+    const struct platform_limits *limits; /* of the key-value service */
     int64_t lease_ms;
     lws_sorted_usec_list_t timer;
     struct world *world;
@@ -189,6 +195,7 @@
     /* metrics */
     struct base_counter *n_accepted;
     struct base_counter *n_refusals_stored;
+    struct base_counter *n_commits_rejected;
     struct base_counter *n_completed;
     struct base_counter *n_given_up;
     struct base_counter *n_claims;
@@ -248,7 +255,7 @@
                                 struct jobs_head *head, int64_t revision,
                                 GPtrArray *results);
 void jobs_run_restore_checkpoint(struct jobs_run *run,
-                                 const GPtrArray *partials);
+                                 const GPtrArray *partials, int n_pieces);
 void jobs_run_item_done(struct jobs_run *run, struct jobs_work *work,
                         bool is_completed);
 void jobs_run_stop(struct jobs_run *run, const char *why);
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -96,31 +96,43 @@
 
 /* ---- jobs of other nodes, read from the key-value service ---- */
 
+/* Decodes the stored results of a job. */
+static bool
+decode_results(const struct platform_kv *kv, GPtrArray *results,
+               struct base_error *err)
+{
+    for (guint i = 0; i < kv->entries->len; i++) {
+        const struct platform_entry *entry = kv->entries->pdata[i];
+        if (!jobs_is_checkpoint_key(entry->key) &&
+            !jobs_results_decode(entry->value, results, err)) {
+            return false;
+        }
+    }
+    if (!jobs_results_are_whole(results)) {
+        base_error_set(err, BASE_CORRUPT,
+                       "the rest of the last result is not stored");
+        return false;
+    }
+    return true;
+}
+
 static void
 on_results(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct jobs_request *request = context;
     GPtrArray *results;
-    struct base_error err = {0};
 
     if (kv->status != PLATFORM_OK) {
         jobs_reply_kv_error(jobs, request, kv);
         return;
     }
     results = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = 0; i < kv->entries->len; i++) {
-        const struct platform_entry *entry = kv->entries->pdata[i];
-        if (jobs_is_checkpoint_key(entry->key)) {
-            continue;
-        }
-        if (!jobs_results_decode(entry->value, results, &err)) {
-            base_log_error("jobs.results_unreadable", &err, "key=%s",
-                           entry->key);
-            request->err = err;
-            g_ptr_array_free(results, TRUE);
-            jobs_reply(jobs, request, JOBS_REFUSED);
-            return;
-        }
+    if (!decode_results(kv, results, &request->err)) {
+        base_log_error("jobs.results_unreadable", &request->err, "id=%s",
+                       request->id);
+        g_ptr_array_free(results, TRUE);
+        jobs_reply(jobs, request, JOBS_REFUSED);
+        return;
     }
     fill_answer(request, request->answer.total, results);
     if (request->is_final) {
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -6,9 +6,8 @@
 #include <zstd.h>
 
 enum {
-    /* Size of a stored piece.  The key-value service limits a value to one
-     * megabyte. */
-    PIECE_BYTES = 700000,
+    MIN_PIECE_BYTES = 1024, /* above the overhead of a result */
+    MIN_PART_BYTES = 512,   /* a text is not split for less room in a piece */
     MAX_TEXT_BYTES = 64 << 20, /* maximum size of a decompressed text */
     COMPRESSION_LEVEL = 1, /* zstd level: least CPU time, most of the saving */
 };
@@ -219,23 +218,40 @@
     return g_strdup_printf("%s%s/%06d", prefix, id, number);
 }
 
-/* Returns the key of a job's checkpoint; the caller frees it. */
+/* Returns the key of a piece of a job's checkpoint, counted from 0; the caller
+ * frees it.  Keys sort by piece number, after those of results. */
 char *
-jobs_checkpoint_key(const char *id)
+jobs_checkpoint_key(const char *id, int number)
 {
-    return g_strconcat(JOBS_RESULTS_PREFIX, id, "/partial", NULL);
+    return number == 0 ? g_strconcat(JOBS_RESULTS_PREFIX, id, "/partial", NULL)
+                       : g_strdup_printf("%s%s/partial.%03d",
+                                         JOBS_RESULTS_PREFIX, id, number);
 }
 
-/* Returns whether a key with the prefix of a job's results is the key of its
- * checkpoint. */
+/* Returns whether a key with the prefix of a job's results is the key of a
+ * piece of its checkpoint. */
 bool
 jobs_is_checkpoint_key(const char *key)
 {
-    return g_str_has_suffix(key, "/partial");
+    const char *name = strrchr(key, '/');
+
+    return name != NULL && g_str_has_prefix(name, "/partial");
 }
 
 /* ---- compressed texts ---- */
 
+/* Returns how many bytes of a text or of encoded results a stored piece may
+ * hold, so that its value is within the limits whatever the bytes are. */
+int64_t
+jobs_piece_bytes(const struct platform_limits *limits)
+{
+    /* More than ZSTD_compressBound adds: 1/256, and 64 bytes. */
+    int64_t growth = limits->value_bytes / 128 + 64;
+
+    return MAX(limits->value_bytes - PLATFORM_IDENTITY_BYTES - growth,
+               MIN_PIECE_BYTES);
+}
+
 static GBytes *
 compress(const void *data, size_t size)
 {
@@ -275,7 +291,7 @@
 /* Compresses a submitted text and splits it into pieces for storage.  Returns
  * an array of GBytes, owned by the caller. */
 GPtrArray *
-jobs_text_split(GBytes *text)
+jobs_text_split(GBytes *text, int64_t piece_bytes)
 {
     GPtrArray *pieces =
         g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
@@ -284,10 +300,10 @@
     GBytes *packed = compress(data, size);
     gsize full_size = g_bytes_get_size(packed);
 
-    for (gsize at = 0; at < full_size; at += PIECE_BYTES) {
+    for (gsize at = 0; at < full_size; at += (gsize)piece_bytes) {
         g_ptr_array_add(
             pieces, g_bytes_new_from_bytes(
-                        packed, at, MIN(full_size - at, (gsize)PIECE_BYTES)));
+                        packed, at, MIN(full_size - at, (gsize)piece_bytes)));
     }
     g_bytes_unref(packed);
     return pieces;
@@ -324,9 +340,40 @@
                         sizeof(little_endian));
 }
 
-/* Encodes results, of struct jobs_result, for storage; the caller owns the
- * bytes.  Each result is a completed flag, then the item id and the text, both
- * preceded by their sizes; numbers have 32 bits, little endian. */
+/* The flags of an encoded result. */
+enum {
+    FLAG_COMPLETED = 1,
+    FLAG_PARTIAL = 2, /* the next piece begins with the rest of its text */
+};
+
+enum { RESULT_NUMBERS_BYTES = 3 * sizeof(uint32_t) };
+
+/* Returns the size of an encoded result with a text of some bytes. */
+int64_t
+jobs_result_bytes(const char *id, size_t size)
+{
+    return RESULT_NUMBERS_BYTES + (int64_t)strlen(id) + (int64_t)size;
+}
+
+/* Appends a result with a part of its text. */
+static void
+append_result(GByteArray *out, const struct jobs_result *result, size_t at,
+              size_t size)
+{
+    bool is_partial = at + size < result->size;
+
+    append_number(out, (result->is_completed ? FLAG_COMPLETED : 0) |
+                           (is_partial ? FLAG_PARTIAL : 0));
+    append_number(out, (uint32_t)strlen(result->id));
+    g_byte_array_append(out, (const guint8 *)result->id,
+                        (guint)strlen(result->id));
+    append_number(out, (uint32_t)size);
+    g_byte_array_append(out, (const guint8 *)result->text + at, (guint)size);
+}
+
+/* Encodes results, of struct jobs_result, in one value, for a message; the
+ * caller owns the bytes.  Each result is its flags, then the item id and the
+ * text, both preceded by their sizes; numbers have 32 bits, little endian. */
 GBytes *
 jobs_results_encode(const GPtrArray *results)
 {
@@ -335,19 +382,76 @@
 
     for (guint i = 0; i < results->len; i++) {
         const struct jobs_result *result = results->pdata[i];
-        append_number(out, result->is_completed ? 1 : 0);
-        append_number(out, (uint32_t)strlen(result->id));
-        g_byte_array_append(out, (const guint8 *)result->id,
-                            (guint)strlen(result->id));
-        append_number(out, (uint32_t)result->size);
-        g_byte_array_append(out, (const guint8 *)result->text,
-                            (guint)result->size);
+        append_result(out, result, 0, result->size);
     }
     packed = compress(out->data, out->len);
     g_byte_array_free(out, TRUE);
     return packed;
 }
 
+static void
+end_piece(GByteArray *plain, GPtrArray *pieces)
+{
+    g_ptr_array_add(pieces, compress(plain->data, plain->len));
+    g_byte_array_set_size(plain, 0);
+}
+
+/* Appends a result to the piece that is being filled, and ends pieces that
+ * are full. */
+static void
+split_result(const struct jobs_result *result, int64_t piece_bytes,
+             GByteArray *plain, GPtrArray *pieces)
+{
+    size_t at = 0;
+    bool is_whole = false;
+
+    while (!is_whole) {
+        size_t left = result->size - at;
+        int64_t room =
+            piece_bytes - plain->len - jobs_result_bytes(result->id, 0);
+        if (plain->len > 0 && room < (int64_t)MIN(left, MIN_PART_BYTES)) {
+            end_piece(plain, pieces);
+            continue;
+        }
+        left = MIN(left, (size_t)MAX(room, 1));
+        append_result(plain, result, at, left);
+        at += left;
+        is_whole = at == result->size;
+        if (!is_whole) {
+            end_piece(plain, pieces);
+        }
+    }
+}
+
+/* Encodes results for storage, in pieces of at most piece_bytes before their
+ * compression.  Returns an array of GBytes, owned by the caller; it is empty
+ * without results.  A text that does not fit goes on in the next piece. */
+GPtrArray *
+jobs_results_split(const GPtrArray *results, int64_t piece_bytes)
+{
+    GPtrArray *pieces =
+        g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+    GByteArray *plain = g_byte_array_new();
+
+    for (guint i = 0; i < results->len; i++) {
+        split_result(results->pdata[i], piece_bytes, plain, pieces);
+    }
+    if (plain->len > 0) {
+        end_piece(plain, pieces);
+    }
+    g_byte_array_free(plain, TRUE);
+    return pieces;
+}
+
+/* Returns whether the last of the decoded results has all of its text. */
+bool
+jobs_results_are_whole(const GPtrArray *results)
+{
+    return results->len == 0 ||
+           !((const struct jobs_result *)results->pdata[results->len - 1])
+                ->is_partial;
+}
+
 /* Returns a copy followed by a zero byte.  The bytes may contain zeros. */
 static char *
 copy_bytes(const void *bytes, size_t size)
@@ -380,17 +484,18 @@
 static bool
 read_result(struct reader *reader, struct jobs_result *out)
 {
-    uint32_t is_completed;
+    uint32_t flags;
     uint32_t size;
 
-    if (!read_number(reader, &is_completed) || !read_number(reader, &size) ||
+    if (!read_number(reader, &flags) || !read_number(reader, &size) ||
         size >= sizeof(out->id) ||
         reader->end - reader->at < (ptrdiff_t)size) {
         return false;
     }
     memcpy(out->id, reader->at, size);
     reader->at += size;
-    out->is_completed = is_completed != 0;
+    out->is_completed = (flags & FLAG_COMPLETED) != 0;
+    out->is_partial = (flags & FLAG_PARTIAL) != 0;
     if (!read_number(reader, &size) ||
         reader->end - reader->at < (ptrdiff_t)size) {
         return false;
@@ -426,31 +531,61 @@
     g_free(result);
 }
 
-/* Decodes stored results and appends them to `out`.  Returns false with
- * BASE_CORRUPT when the bytes are invalid; `out` then has the results before
- * the invalid one. */
+/* Adds a decoded result: appends it, or its text to the last result if that
+ * goes on.  Takes over the result; returns false if it is not the rest of the
+ * last one. */
+static bool
+add_result(GPtrArray *out, struct jobs_result *result)
+{
+    struct jobs_result *last;
+
+    if (jobs_results_are_whole(out)) {
+        g_ptr_array_add(out, result);
+        return true;
+    }
+    last = out->pdata[out->len - 1];
+    if (strcmp(last->id, result->id) != 0) {
+        jobs_result_free(result);
+        return false;
+    }
+    last->text = g_realloc(last->text, last->size + result->size + 1);
+    memcpy(last->text + last->size, result->text, result->size + 1);
+    last->size += result->size;
+    last->is_partial = result->is_partial;
+    jobs_result_free(result);
+    return true;
+}
+
+/* Decodes stored results, or the next piece of them, and appends them to
+ * `out`.  After the last piece, jobs_results_are_whole must hold.  Returns
+ * false with BASE_CORRUPT when the bytes are invalid; `out` then has the
+ * results before the invalid one. */
 bool
 jobs_results_decode(GBytes *bytes, GPtrArray *out, struct base_error *err)
 {
     GBytes *text = decompress(bytes, err);
     struct reader reader;
     gsize size = 0;
+    bool is_ok = true;
 
     if (text == NULL) {
         return false;
     }
     reader.at = g_bytes_get_data(text, &size);
     reader.end = reader.at + size;
-    while (reader.at < reader.end) {
+    while (is_ok && reader.at < reader.end) {
         struct jobs_result *result = g_new0(struct jobs_result, 1);
         if (!read_result(&reader, result)) {
             jobs_result_free(result);
-            base_error_set(err, BASE_CORRUPT, "stored results are cut off");
-            g_bytes_unref(text);
-            return false;
+            is_ok = false;
+        }
+        else {
+            is_ok = add_result(out, result);
         }
-        g_ptr_array_add(out, result);
+    }
+    if (!is_ok) {
+        base_error_set(err, BASE_CORRUPT, "stored results are cut off");
     }
     g_bytes_unref(text);
-    return true;
+    return is_ok;
 }
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -12,11 +12,17 @@
  *                      condition of the acceptance, so that a node which
  *                      receives the submission late does not accept it
  *   jobs/i/ID/N        submitted text, compressed and split into pieces
- *   jobs/r/ID/N        results in the order of their positions, compressed
- *   jobs/r/ID/partial  checkpoint: partial outputs and failure counts of
+ *   jobs/r/ID/N        results in the order of their positions, compressed;
+ *                      the text of a large one goes on in the next pieces,
+ *                      which the same transaction writes
+ *   jobs/r/ID/partial, jobs/r/ID/partial.N
+ *                      checkpoint: partial outputs and failure counts of
  *                      unfinished items, from which the next runner resumes.
  *                      It may be missing or outdated; the items then repeat
  *                      more of their work
+ *
+ * No value is above the service's limit: jobs_piece_bytes tells how much of a
+ * text or of results a piece may hold.
  */
 #ifndef CARDAMOM_JOBS_RECORD_H
 #define CARDAMOM_JOBS_RECORD_H
@@ -77,6 +83,10 @@
 char *jobs_refusal_key(const char *id, const char *submission);
 char *jobs_piece_key(const char *prefix, const char *id, int number);
 
+int64_t jobs_piece_bytes(const struct platform_limits *limits);
+int64_t jobs_result_bytes(const char *id, size_t size);
+GPtrArray *jobs_results_split(const GPtrArray *results, int64_t piece_bytes);
+bool jobs_results_are_whole(const GPtrArray *results);
 GBytes *jobs_results_encode(const GPtrArray *results);
 bool jobs_results_decode(GBytes *bytes, GPtrArray *out,
                          struct base_error *err);
@@ -84,8 +94,8 @@
 struct jobs_result *jobs_result_new(const char *id, bool is_completed,
                                     const char *text, size_t size);
 bool jobs_is_checkpoint_key(const char *key);
-char *jobs_checkpoint_key(const char *id);
-GPtrArray *jobs_text_split(GBytes *text);
+char *jobs_checkpoint_key(const char *id, int number);
+GPtrArray *jobs_text_split(GBytes *text, int64_t piece_bytes);
 GBytes *jobs_text_join(const GPtrArray *pieces, struct base_error *err);
 
 #ifdef __cplusplus
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -9,7 +9,14 @@
     /* A job that is complete, or that is due within this time, is committed
      * at once. */
     DUE_SOON_MS = 2000,
-    RETRY_MS = 300, /* after a commit without a reply */
+    RETRY_MS = 300,           /* after a commit without a reply */
+    REJECTED_RETRY_MS = 5000, /* after one that the store refuses for good */
+    /* Pieces of a checkpoint and of the results of a commit.  Both fit into a
+     * transaction of 32 entries, with four for the heads. */
+    MAX_CHECKPOINT_PIECES = 8,
+    MAX_RESULT_PIECES = 20,
+    MIN_PIECE_BYTES = 4096,   /* smaller pieces are not tried */
+    MAX_CHECKPOINT_LINE = 64, /* numbers of an item in a checkpoint */
     /* Between checkpoints of running items.  Longer intervals lose more output
      * when a node is killed; shorter ones write more bytes to the key-value
      * service. */
@@ -82,6 +89,7 @@
                        : g_ptr_array_new_with_free_func(jobs_result_free);
     run->works = g_new0(struct jobs_work, job->items->len);
     run->committing = g_array_new(FALSE, TRUE, sizeof(int));
+    run->piece_bytes = jobs_piece_bytes(jobs->limits);
     run->max_attempts = 1;
     run->give_up_at_ms = INT64_MAX;
     run->is_unconfirmed = !jobs_holds_lease(jobs);
@@ -101,13 +109,15 @@
     return run;
 }
 
-/* Restores the checkpoint of the previous runner.  For each item it has a line
- * with the number of events, the id of the last event and the number of
- * failures, and after it the output received so far. */
+/* Restores the checkpoint of the previous runner, which has n_pieces stored
+ * pieces.  For each item it has a line with the number of events, the id of
+ * the last event and the number of failures, and after it the output received
+ * so far. */
 void
-jobs_run_restore_checkpoint(struct jobs_run *run, const GPtrArray *partials)
+jobs_run_restore_checkpoint(struct jobs_run *run, const GPtrArray *partials,
+                            int n_pieces)
 {
-    run->has_checkpoint = partials->len > 0;
+    run->n_checkpoint_pieces = n_pieces;
     for (guint i = 0; i < partials->len; i++) {
         const struct jobs_result *partial = partials->pdata[i];
         const char *text = memchr(partial->text, '\n', partial->size);
@@ -132,39 +142,94 @@
     }
 }
 
-static GBytes *
+/* Returns the entry of an item in a checkpoint; without its output, the next
+ * runner starts the item again.  NULL: there is nothing to keep. */
+static struct jobs_result *
+make_partial(const struct jobs_work *work, const char *id, bool has_output)
+{
+    bool may_resume = has_output && jobs_events_may_resume(&work->events);
+    struct jobs_result *partial;
+    GString *text;
+
+    if (!may_resume && work->n_failures == 0) {
+        return NULL;
+    }
+    text = g_string_new(NULL);
+    g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %d\n",
+                    may_resume ? work->events.count : 0,
+                    may_resume ? work->events.last_id : 0, work->n_failures);
+    if (may_resume) {
+        g_string_append_len(text, work->events.text->str,
+                            (gssize)work->events.text->len);
+    }
+    partial = jobs_result_new(id, true, text->str, text->len);
+    g_string_free(text, TRUE);
+    return partial;
+}
+
+/* Returns the pieces of a checkpoint of the open items, of GBytes, owned by
+ * the caller.  Outputs that do not fit into MAX_CHECKPOINT_PIECES are left
+ * out. */
+static GPtrArray *
 encode_checkpoint(const struct jobs_run *run)
 {
     GPtrArray *partials = g_ptr_array_new_with_free_func(jobs_result_free);
-    GBytes *bytes = NULL;
+    int64_t entry_bytes =
+        jobs_result_bytes("", JOBS_ID_SIZE + MAX_CHECKPOINT_LINE);
+    /* Each end of a piece may leave some room and repeat the item's id. */
+    int64_t room =
+        MAX_CHECKPOINT_PIECES * (run->piece_bytes - 2 * entry_bytes) -
+        run->job->items->len * entry_bytes;
+    GPtrArray *pieces;
 
     for (guint i = 0; i < run->job->items->len; i++) {
         const struct jobs_work *work = &run->works[i];
         const struct jobs_item *item = run->job->items->pdata[i];
-        bool may_resume = jobs_events_may_resume(&work->events);
-        GString *text;
-        if (work->state >= JOBS_WORK_DONE ||
-            (!may_resume && work->n_failures == 0)) {
+        int64_t size = (int64_t)work->events.text->len;
+        struct jobs_result *partial;
+        if (work->state >= JOBS_WORK_DONE) {
             continue;
         }
-        text = g_string_new(NULL);
-        g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %d\n",
-                        may_resume ? work->events.count : 0,
-                        may_resume ? work->events.last_id : 0,
-                        work->n_failures);
-        if (may_resume) {
-            g_string_append_len(text, work->events.text->str,
-                                (gssize)work->events.text->len);
+        partial = make_partial(work, item->id, size <= room);
+        if (partial != NULL) {
+            room -= size <= room ? size : 0;
+            g_ptr_array_add(partials, partial);
         }
-        g_ptr_array_add(partials,
-                        jobs_result_new(item->id, true, text->str, text->len));
-        g_string_free(text, TRUE);
-    }
-    if (partials->len > 0) {
-        bytes = jobs_results_encode(partials);
     }
+    pieces = jobs_results_split(partials, run->piece_bytes);
     g_ptr_array_free(partials, TRUE);
-    return bytes;
+    return pieces;
+}
+
+/* Adds the writes of a checkpoint to a transaction, and the removal of pieces
+ * of an earlier one that had more. */
+static void
+add_checkpoint(struct jobs_run *run, struct platform_kv *kv,
+               const GPtrArray *pieces)
+{
+    for (int i = 0; i < MAX((int)pieces->len, run->n_checkpoint_pieces); i++) {
+        char *key = jobs_checkpoint_key(run->head.id, i);
+        GBytes *value =
+            i < (int)pieces->len ? g_bytes_ref(pieces->pdata[i]) : NULL;
+        platform_kv_write(kv, key, value, 0);
+        g_free(key);
+    }
+    run->n_sent_pieces = (int)pieces->len;
+    run->n_checkpoint_pieces =
+        MAX(run->n_checkpoint_pieces, run->n_sent_pieces);
+}
+
+/* Makes later pieces smaller, after the store has refused some for good: it
+ * may take less than its limits say.  Returns false if they are small already.
+ */
+static bool
+shrink_pieces(struct jobs_run *run)
+{
+    if (run->piece_bytes / 2 < MIN_PIECE_BYTES) {
+        return false;
+    }
+    run->piece_bytes /= 2;
+    return true;
 }
 
 /* Frees a run; no call may refer to it any more. */
@@ -180,6 +245,9 @@
     jobs_head_finish(&run->next_head);
     g_ptr_array_free(run->results, TRUE);
     g_array_free(run->committing, TRUE);
+    if (run->commit_pieces != NULL) {
+        g_ptr_array_free(run->commit_pieces, TRUE);
+    }
     g_free(run);
 }
 
@@ -274,6 +342,9 @@
     memset(&run->next_head, 0, sizeof(run->next_head));
     run->revision = revision;
     run->is_committing = false;
+    if (run->is_releasing) {
+        run->n_checkpoint_pieces = run->n_sent_pieces;
+    }
     run->last_commit_ms = base_clock_ms();
     g_array_set_size(run->committing, 0);
     if (run->is_releasing) {
@@ -352,6 +423,30 @@
     run->next_commit_ms = base_clock_ms();
 }
 
+/* The store refuses a commit for good.  Unless it may have taken effect, the
+ * next one is smaller; results of other items go first then. */
+static void
+on_commit_rejected(struct jobs_run *run, const struct platform_kv *kv)
+{
+    bool is_certain = !run->is_commit_uncertain && kv->verdict == BASE_NOT_RUN;
+    bool may_shrink =
+        is_certain && 2 * run->commit_pieces->len <= MAX_RESULT_PIECES;
+    bool is_smaller = may_shrink && shrink_pieces(run);
+
+    base_counter_add(run->jobs->n_commits_rejected, 1);
+    base_log(BASE_LOG_ERROR, "jobs.commit_rejected",
+             "id=%s items=%u pieces=%u piece_bytes=%" G_GINT64_FORMAT
+             " ran=%s error=\"%s\"",
+             run->head.id, run->committing->len, run->commit_pieces->len,
+             run->piece_bytes, base_verdict_name(kv->verdict), kv->err.text);
+    run->next_commit_ms =
+        base_clock_ms() + (is_smaller ? RETRY_MS : REJECTED_RETRY_MS);
+    if (is_certain) {
+        run->is_committing = false;
+        run->is_releasing = false;
+    }
+}
+
 static void
 on_committed(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -371,23 +466,40 @@
     case PLATFORM_CONFLICT:
         on_conflict(run, kv);
         return;
+    case PLATFORM_REJECTED:
+        on_commit_rejected(run, kv);
+        return;
     case PLATFORM_LEASE_EXPIRED:
     case PLATFORM_UNAVAILABLE:
-    case PLATFORM_REJECTED:
         /* The same commit is sent again, since it may have taken effect or
          * take effect late. */
+        run->is_commit_uncertain |= kv->verdict != BASE_NOT_RUN;
         run->next_commit_ms = base_clock_ms() + RETRY_MS;
         return;
     }
 }
 
+/* Adds the writes of the results that a commit lists to its transaction. */
+static void
+add_results(const struct jobs_run *run, struct platform_kv *kv)
+{
+    int first = run->head.n_result_pieces;
+
+    for (guint i = 0; i < run->commit_pieces->len; i++) {
+        char *key =
+            jobs_piece_key(JOBS_RESULTS_PREFIX, run->head.id, first + (int)i);
+        platform_kv_write(kv, key, g_bytes_ref(run->commit_pieces->pdata[i]),
+                          0);
+        g_free(key);
+    }
+}
+
 static void
 send_commit(struct jobs_run *run)
 {
     struct platform_kv *kv = platform_kv_new(PLATFORM_TXN, run->head.id);
     char *head_key = jobs_head_key(run->head.id);
     char *done_key = jobs_done_key(run->head.id);
-    char *checkpoint_key = jobs_checkpoint_key(run->head.id);
 
     platform_kv_expect(kv, head_key, run->revision);
     if (jobs_head_is_open(&run->next_head)) {
@@ -397,52 +509,93 @@
         platform_kv_expect(kv, done_key, PLATFORM_ABSENT);
         platform_kv_write(kv, done_key, jobs_head_encode(&run->next_head), 0);
         platform_kv_write(kv, head_key, NULL, 0);
-        if (run->has_checkpoint) {
-            platform_kv_write(kv, checkpoint_key, NULL, 0);
-        }
     }
-    if (run->committing->len > 0) {
-        GPtrArray *results = make_committed_results(run);
-        char *key = jobs_piece_key(JOBS_RESULTS_PREFIX, run->head.id,
-                                   run->next_head.n_result_pieces - 1);
-        platform_kv_write(kv, key, jobs_results_encode(results), 0);
-        g_free(key);
-        g_ptr_array_free(results, TRUE);
-    }
-    if (run->is_releasing) {
-        GBytes *partials = encode_checkpoint(run);
-        if (partials != NULL) {
-            platform_kv_write(kv, checkpoint_key, partials, 0);
-        }
+    add_results(run, kv);
+    if (run->is_releasing || !jobs_head_is_open(&run->next_head)) {
+        GPtrArray *checkpoint =
+            run->is_releasing ? encode_checkpoint(run) : g_ptr_array_new();
+        add_checkpoint(run, kv, checkpoint);
+        g_ptr_array_free(checkpoint, TRUE);
     }
     g_free(head_key);
     g_free(done_key);
-    g_free(checkpoint_key);
     run->next_commit_ms = base_clock_ms() + RETRY_MS;
     run->n_references++;
     run->n_writes++;
     jobs_kv_send(run->jobs, kv, (struct jobs_kv_callback){on_committed, run});
 }
 
+static int64_t
+result_bytes(const struct jobs_run *run, int item)
+{
+    const struct jobs_item *at = run->job->items->pdata[item];
+    const struct jobs_work *work = &run->works[item];
+
+    return jobs_result_bytes(at->id,
+                             work->is_completed ? work->events.text->len : 0);
+}
+
+/* Adds an item to the pending commit. */
 static void
-begin_commit(struct jobs_run *run)
+add_to_commit(struct jobs_run *run, int item)
 {
-    jobs_head_finish(&run->next_head);
-    jobs_head_copy(&run->next_head, &run->head);
-    g_array_set_size(run->committing, 0);
-    for (guint i = 0; i < run->job->items->len; i++) {
-        const struct jobs_work *work = &run->works[i];
-        struct jobs_listed listed = {work->index, work->is_completed};
-        if (work->state != JOBS_WORK_DONE) {
+    struct jobs_listed listed = {item, run->works[item].is_completed};
+
+    g_array_append_val(run->committing, item);
+    g_array_append_val(run->next_head.listed, listed);
+}
+
+/* Chooses the results of the next commit, as many as fit into one piece.  A
+ * larger one is committed alone, in several pieces, and after all others. */
+static void
+choose_results(struct jobs_run *run)
+{
+    int64_t room = run->piece_bytes;
+    int largest = -1;
+
+    run->has_more_results = false;
+    for (int i = 0; i < (int)run->job->items->len; i++) {
+        int64_t size;
+        if (run->works[i].state != JOBS_WORK_DONE) {
             continue;
         }
-        g_array_append_val(run->committing, work->index);
-        g_array_append_val(run->next_head.listed, listed);
+        size = result_bytes(run, i);
+        if (size <= room) {
+            add_to_commit(run, i);
+            room -= size;
+            continue;
+        }
+        run->has_more_results = true;
+        largest = size > run->piece_bytes ? i : largest;
+    }
+    if (run->committing->len == 0 && largest >= 0) {
+        add_to_commit(run, largest);
     }
-    run->next_head.n_result_pieces += run->committing->len > 0 ? 1 : 0;
+}
+
+/* Starts a commit.  may_release: it releases the job if no finished items are
+ * left for another commit. */
+static void
+begin_commit(struct jobs_run *run, bool may_release)
+{
+    GPtrArray *results;
+
+    jobs_head_finish(&run->next_head);
+    jobs_head_copy(&run->next_head, &run->head);
+    g_array_set_size(run->committing, 0);
+    choose_results(run);
+    results = make_committed_results(run);
+    if (run->commit_pieces != NULL) {
+        g_ptr_array_free(run->commit_pieces, TRUE);
+    }
+    run->commit_pieces = jobs_results_split(results, run->piece_bytes);
+    g_ptr_array_free(results, TRUE);
+    run->next_head.n_result_pieces += (int)run->commit_pieces->len;
+    run->is_releasing = may_release && !run->has_more_results;
     if (run->is_releasing) {
         run->next_head.runner[0] = '\0';
     }
+    run->is_commit_uncertain = false;
     run->is_committing = true;
     send_commit(run);
 }
@@ -462,7 +615,7 @@
 static bool
 is_commit_due(const struct jobs_run *run, int64_t now_ms)
 {
-    bool is_urgent = run->n_open == 0 ||
+    bool is_urgent = run->n_open == 0 || run->has_more_results ||
                      run->due_at_ms - base_wall_ms() < DUE_SOON_MS ||
                      now_ms >= run->last_commit_ms + COMMIT_MS;
 
@@ -492,8 +645,10 @@
     (void)jobs;
     run->n_references--;
     run->n_writes--;
-    run->has_checkpoint = true;
-    if (kv->status != PLATFORM_OK) {
+    if (kv->status == PLATFORM_OK) {
+        run->n_checkpoint_pieces = run->n_sent_pieces;
+    }
+    else if (kv->status != PLATFORM_REJECTED || shrink_pieces(run)) {
         run->is_checkpoint_requested =
             true; /* the next tick writes it again */
         run->next_commit_ms = base_clock_ms() + RETRY_MS;
@@ -506,24 +661,22 @@
 static void
 write_checkpoint(struct jobs_run *run)
 {
-    GBytes *partials = encode_checkpoint(run);
+    GPtrArray *pieces = encode_checkpoint(run);
     struct platform_kv *kv;
     char *head_key;
-    char *key;
 
-    if (partials == NULL) {
-        return;
-    }
-    kv = platform_kv_new(PLATFORM_TXN, run->head.id);
-    head_key = jobs_head_key(run->head.id);
-    key = jobs_checkpoint_key(run->head.id);
-    platform_kv_expect(kv, head_key, run->revision);
-    platform_kv_write(kv, key, partials, 0);
-    g_free(head_key);
-    g_free(key);
-    run->n_references++;
-    run->n_writes++;
-    jobs_kv_send(run->jobs, kv, (struct jobs_kv_callback){on_checkpoint, run});
+    if (pieces->len > 0) {
+        kv = platform_kv_new(PLATFORM_TXN, run->head.id);
+        head_key = jobs_head_key(run->head.id);
+        platform_kv_expect(kv, head_key, run->revision);
+        add_checkpoint(run, kv, pieces);
+        g_free(head_key);
+        run->n_references++;
+        run->n_writes++;
+        jobs_kv_send(run->jobs, kv,
+                     (struct jobs_kv_callback){on_checkpoint, run});
+    }
+    g_ptr_array_free(pieces, TRUE);
 }
 
 static bool
@@ -568,6 +721,7 @@
 jobs_run_tick(struct jobs_run *run, int64_t now_ms)
 {
     bool is_draining = g_atomic_int_get(&run->jobs->is_draining) != 0;
+    bool is_released;
 
     if (run->has_stopped) {
         return;
@@ -580,19 +734,18 @@
     }
     update_limits(run);
     give_up_expired(run);
-    if (is_draining && !run->is_releasing && run->n_open > 0 &&
-        !run->is_committing) {
+    if (is_draining && run->n_open > 0 && !run->is_committing) {
         stop_items(run);
-        run->is_releasing = run->n_active == 0;
     }
     if (now_ms < run->next_commit_ms || run->n_writes > 0) {
         return;
     }
+    is_released = is_draining && run->n_open > 0 && run->n_active == 0;
     if (run->is_committing) {
         send_commit(run);
     }
-    else if (is_commit_due(run, now_ms) || run->is_releasing) {
-        begin_commit(run);
+    else if (is_commit_due(run, now_ms) || is_released) {
+        begin_commit(run, is_released);
     }
     else if (is_checkpoint_due(run, now_ms)) {
         write_checkpoint(run);
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -108,7 +108,8 @@
 {
     struct platform_kv *kv =
         platform_kv_new(PLATFORM_TXN, submission->job->id);
-    GPtrArray *pieces = jobs_text_split(submission->job->text);
+    GPtrArray *pieces =
+        jobs_text_split(submission->job->text, jobs_piece_bytes(jobs->limits));
     char *head_key = jobs_head_key(submission->job->id);
     char *done_key = jobs_done_key(submission->job->id);
 
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -37,6 +37,8 @@
     int64_t next_lease = 100;
     int n_lost_replies = 0; /* next commits that take effect without a reply */
     int n_commits = 0;
+    int64_t value_bytes = 1 << 20; /* larger values are rejected */
+    int n_rejected = 0;
     std::atomic<int> n_scans{0}; /* reads of all jobs */
     std::atomic<bool> is_down{false};
     /* contracts */
@@ -53,6 +55,7 @@
     std::atomic<bool> is_cut{false};
     std::atomic<bool> is_frozen{false}; /* blocks the task that calls */
     std::atomic<int> n_calls{0};
+    struct platform_limits limits = {1 << 20, 32};
 };
 
 struct fake *fake;
@@ -131,10 +134,30 @@
     }
 }
 
+/* Returns whether the service takes all values of a write. */
+bool
+is_write_allowed(const struct platform_kv *kv)
+{
+    size_t largest = kv->value != nullptr ? g_bytes_get_size(kv->value) : 0;
+    for (guint i = 0; i < kv->writes->len; i++) {
+        auto *at = (struct platform_write *)kv->writes->pdata[i];
+        largest = MAX(largest,
+                      at->value != nullptr ? g_bytes_get_size(at->value) : 0);
+    }
+    return (int64_t)largest + PLATFORM_IDENTITY_BYTES <= fake->value_bytes &&
+           kv->writes->len + kv->conditions->len <= 32;
+}
+
 void
 write_records(struct platform_kv *kv)
 {
     bool is_commit = false;
+    if (!is_write_allowed(kv)) {
+        fake->n_rejected++;
+        kv->status = PLATFORM_REJECTED;
+        kv->verdict = BASE_NOT_RUN;
+        return;
+    }
     for (guint i = 0; kv->op == PLATFORM_TXN && i < kv->writes->len; i++) {
         auto *at = (struct platform_write *)kv->writes->pdata[i];
         is_commit |= g_str_has_prefix(at->key, JOBS_RESULTS_PREFIX);
@@ -330,6 +353,12 @@
     base_call_reply(&kv->call);
 }
 
+const struct platform_limits *
+platform_limits(const struct platform *platform)
+{
+    return &((const struct store_link *)platform)->limits;
+}
+
 struct control_admission *
 control_admission_new(const char *server, enum contracts_class class_)
 {
@@ -477,6 +506,7 @@
     std::vector<member> members{2};
     struct base_counters counters;
     int64_t limit = 0;
+    int64_t known_value_bytes = 1 << 20; /* limit of a value, to the nodes */
 
     explicit Site(test_server::script script = serve, int64_t limit = 0)
         : engine(script), limit(limit)
@@ -572,6 +602,7 @@
 
     Node(Site &site, const char *name) : site(site), name(name)
     {
+        link.limits.value_bytes = site.known_value_bytes;
         static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
         struct base_error err = {};
         struct jobs_desc desc = {};
@@ -1614,6 +1645,160 @@
     is_blocked = false;
 }
 
+/* Output that hardly compresses, the same for each run of an item. */
+std::string
+random_text(const std::string &seed, size_t size)
+{
+    GRand *draw = g_rand_new_with_seed(g_str_hash(seed.c_str()));
+    std::string out;
+    while (out.size() < size) {
+        out += (char)g_rand_int_range(draw, '0', 'z');
+    }
+    g_rand_free(draw);
+    return out;
+}
+
+std::string
+event_of(int number, const std::string &data)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+}
+
+/* Returns n item ids, separated by spaces. */
+std::string
+item_ids(int n)
+{
+    std::string out;
+    for (int i = 0; i < n; i++) {
+        out += (i > 0 ? " i" : "i") + std::to_string(i);
+    }
+    return out;
+}
+
+/* Guards against commits that the store can never take: accepted items that
+ * stay without a listed result.  Values have at most 8 KB here. */
+TEST(Jobs, ResultsAboveTheValueLimitAreAllListed)
+{
+    enum { VALUE_BYTES = 8192 };
+    struct {
+        const char *name;
+        int n_items;
+        size_t text_bytes;
+        int64_t known_value_bytes; /* to the nodes */
+    } cases[] = {
+        {"many results at once", 60, 1000, VALUE_BYTES},
+        {"a result above the limit", 1, 50000, VALUE_BYTES},
+        {"results just below and above it", 4, 7900, VALUE_BYTES},
+        {"the store takes less than it is said to", 40, 1000, 1 << 16},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::atomic<int> n_started{0};
+        Site site([&](int fd, const std::string &request) {
+            std::string id = test_header(request, "x-id");
+            n_started++;
+            while (n_started < row.n_items) {
+                g_usleep(1000); /* all finish together */
+            }
+            test_write(
+                fd, head(request) +
+                        chunk(event_of(1, random_text(id, row.text_bytes))) +
+                        "0\r\n\r\n");
+        });
+        site.store.value_bytes = VALUE_BYTES;
+        site.known_value_bytes = row.known_value_bytes;
+        Node one(site, "n1");
+        Node two(site, "n2");
+        ASSERT_EQ(one.submit("j", item_ids(row.n_items)), JOBS_OK);
+        std::set<std::string> want;
+        for (int i = 0; i < row.n_items; i++) {
+            std::string id = "i" + std::to_string(i);
+            want.insert(id + "=" + random_text(id, row.text_bytes));
+        }
+        auto own = one.wait_for("j", (size_t)row.n_items);
+        EXPECT_EQ(own.size(), (size_t)row.n_items);
+        EXPECT_EQ(as_set(own), want);
+        EXPECT_EQ(two.read("j"), own) << "read from the records";
+        EXPECT_EQ(n_started, row.n_items) << "an item ran twice";
+        if (row.known_value_bytes == VALUE_BYTES) {
+            EXPECT_EQ(site.store.n_rejected, 0);
+        }
+    }
+}
+
+/* Waits for a claim of the job "j" and for all its results, which the other
+ * node's partial output must not delay. */
+void
+expect_all_resumed(Node &node, int n_items, const std::set<int> &resumed)
+{
+    EXPECT_EQ(node.wait_for("j", (size_t)n_items).size(), (size_t)n_items);
+    EXPECT_EQ(resumed, std::set<int>{10});
+}
+
+/* Guards against checkpoints and releases that the store can never take: the
+ * next runner would do all the work again. */
+TEST(Jobs, PartialOutputAboveTheValueLimitPassesToTheNextRunner)
+{
+    enum { VALUE_BYTES = 8192, N_ITEMS = 16, N_EVENTS = 10, BYTES = 240 };
+    struct {
+        const char *name;
+        bool is_planned; /* the node releases the job; else it is lost */
+    } cases[] = {{"a planned stop", true}, {"the runner is lost", false}};
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::atomic<int> n_started{0};
+        std::atomic<bool> is_stopped{false};
+        std::mutex lock;
+        std::set<int> resumed;
+        Site site([&](int fd, const std::string &request) {
+            std::string id = test_header(request, "x-id");
+            int after = atoi(test_header(request, "last-id").c_str());
+            std::string data = random_text(id, BYTES);
+            std::string start;
+            for (int i = 1; i <= N_EVENTS; i++) {
+                start += event_of(i, data);
+            }
+            start = chunk(start);
+            if (is_stopped) {
+                std::lock_guard<std::mutex> guard(lock);
+                resumed.insert(after);
+                test_write(
+                    fd, head(request) + (after < N_EVENTS ? start : "") +
+                            chunk(event_of(N_EVENTS + 1, data)) + "0\r\n\r\n");
+                return;
+            }
+            test_write(fd, head(request) + start);
+            n_started++;
+            test_wait_for_close(fd);
+        });
+        site.store.value_bytes = VALUE_BYTES;
+        site.known_value_bytes = VALUE_BYTES;
+        auto one = std::make_unique<Node>(site, "n1");
+        Node two(site, "n2");
+        ASSERT_EQ(one->submit("j", item_ids(N_ITEMS)), JOBS_OK);
+        while (n_started < N_ITEMS) {
+            g_usleep(1000);
+        }
+        if (row.is_planned) {
+            g_usleep(200000);
+            is_stopped = true;
+            jobs_drain(one->jobs);
+        }
+        else {
+            wait_for_record(JOBS_RESULTS_PREFIX "j/partial");
+            one->stop();
+            is_stopped = true;
+            end_leases_of("n1");
+            site.members[0].state = MEMBERS_DEAD;
+            two.update(site.world);
+        }
+        expect_all_resumed(two, N_ITEMS, resumed);
+        EXPECT_EQ(site.store.n_rejected, 0);
+    }
+}
+
 /* Waits for the next turn of scanners. */
 void
 wait_for_turn()
--- a/packages/jobs/test_record.cc
+++ b/packages/jobs/test_record.cc
@@ -114,7 +114,7 @@
         text += (char)(state >> 24);
     }
     GBytes *bytes = g_bytes_new(text.data(), text.size());
-    GPtrArray *pieces = jobs_text_split(bytes);
+    GPtrArray *pieces = jobs_text_split(bytes, 700000);
     EXPECT_GE(pieces->len, 3u);
     GBytes *decoded = jobs_text_join(pieces, &err);
     ASSERT_NE(decoded, nullptr) << err.text;
@@ -126,6 +126,88 @@
     g_bytes_unref(bytes);
 }
 
+/* Returns bytes that cannot be compressed. */
+std::string
+noise(size_t size, uint32_t state)
+{
+    std::string text;
+    while (text.size() < size) {
+        state = state * 1664525 + 1013904223;
+        text += (char)(state >> 24);
+    }
+    return text;
+}
+
+/* Guards against values above the store's limit, and against results that are
+ * read back cut off or joined to others. */
+TEST(Record, ResultsAreSplitIntoPiecesWithinTheLimitAndReadBackWhole)
+{
+    struct {
+        const char *name;
+        int64_t value_bytes;
+        std::vector<size_t> sizes; /* of the texts; an odd item is given up */
+        guint n_pieces;            /* 0: not checked */
+    } cases[] = {
+        {"none", 4096, {}, 0},
+        {"empty texts", 4096, {0, 0, 0}, 1},
+        {"one piece", 4096, {1000, 0, 1000}, 1},
+        {"a text of exactly the room", 4096, {3967}, 1},
+        {"one byte more", 4096, {3968}, 2},
+        {"a long text among short ones", 4096, {100, 50, 9000, 50, 100}, 0},
+        {"a text of 2 MB", 1 << 20, {2000000}, 2},
+        {"texts of 16 MB", 1 << 20, {16 << 20, 7, 16 << 20}, 0},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        struct platform_limits limits = {row.value_bytes, 32};
+        GPtrArray *results = g_ptr_array_new_with_free_func(jobs_result_free);
+        GPtrArray *decoded = g_ptr_array_new_with_free_func(jobs_result_free);
+        struct base_error err = {};
+        for (size_t i = 0; i < row.sizes.size(); i++) {
+            std::string text = noise(row.sizes[i], (uint32_t)i + 1);
+            g_ptr_array_add(results,
+                            jobs_result_new(("i" + std::to_string(i)).c_str(),
+                                            i % 2 == 0, text.data(),
+                                            text.size()));
+        }
+        GPtrArray *pieces =
+            jobs_results_split(results, jobs_piece_bytes(&limits));
+        if (row.n_pieces > 0) {
+            EXPECT_EQ(pieces->len, row.n_pieces);
+        }
+        for (guint i = 0; i < pieces->len; i++) {
+            auto *piece = (GBytes *)pieces->pdata[i];
+            EXPECT_LE((int64_t)g_bytes_get_size(piece) +
+                          PLATFORM_IDENTITY_BYTES,
+                      row.value_bytes);
+            ASSERT_TRUE(jobs_results_decode(piece, decoded, &err)) << err.text;
+        }
+        EXPECT_TRUE(jobs_results_are_whole(decoded));
+        ASSERT_EQ(decoded->len, row.sizes.size());
+        for (guint i = 0; i < decoded->len; i++) {
+            auto *want = (struct jobs_result *)results->pdata[i];
+            auto *at = (struct jobs_result *)decoded->pdata[i];
+            EXPECT_STREQ(at->id, want->id);
+            EXPECT_EQ(at->is_completed, want->is_completed);
+            ASSERT_EQ(at->size, want->size);
+            EXPECT_EQ(memcmp(at->text, want->text, at->size), 0);
+        }
+        if (pieces->len > 1) {
+            /* The last piece is missing. */
+            g_ptr_array_set_size(decoded, 0);
+            for (guint i = 0; i + 1 < pieces->len; i++) {
+                jobs_results_decode((GBytes *)pieces->pdata[i], decoded, &err);
+            }
+            EXPECT_FALSE(jobs_results_are_whole(decoded) &&
+                         decoded->len == row.sizes.size());
+        }
+        g_ptr_array_free(pieces, TRUE);
+        g_ptr_array_free(results, TRUE);
+        g_ptr_array_free(decoded, TRUE);
+    }
+}
+
 /* Checks which streams are complete and which can be resumed.  A missing or
  * repeated event must be detected, and a stream without ids cannot be
  * resumed. */
