Let the partial output of a test be above the limit it tests

This one passed on the old code, since all events of an item had the same text and the checkpoint compressed to less than the limit.

Each event has a text of its own now.

--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1755,10 +1755,13 @@
         Site site([&](int fd, const std::string &request) {
             std::string id = test_header(request, "x-id");
             int after = atoi(test_header(request, "last-id").c_str());
-            std::string data = random_text(id, BYTES);
+            /* A different text in each event, which do not compress. */
+            auto data = [&](int number) {
+                return random_text(id + "." + std::to_string(number), BYTES);
+            };
             std::string start;
             for (int i = 1; i <= N_EVENTS; i++) {
-                start += event_of(i, data);
+                start += event_of(i, data(i));
             }
             start = chunk(start);
             if (is_stopped) {
