Reject a job that the store can't take at once, and carry larger messages

Callers would have seen: a job whose compressed text needs more pieces than a transaction has entries got 503 at every attempt, as if it could be accepted later; a job or result above 4 MiB closed the connection between two nodes, so that it was not accepted at its home.

Change: such a job is answered 413 (JOBS_TOO_LARGE) before anything is written. The messages of packages/jobs may have 65 MiB, above the largest text that is read back.

Test: Jobs.AJobTooLargeForTheStoreIsRejectedAndOthersReachTheirHome failed before in two of its three cases: refused with 2 rejected writes instead of rejected, and accepted by n2 instead of its home n1.

--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -83,6 +83,9 @@
         front_fail(request, &FRONT_NOT_FOUND,
                    "no jobs are accepted on this route");
         return;
+    case JOBS_TOO_LARGE:
+        front_fail(request, &FRONT_TOO_LARGE, "%s", reply->err.text);
+        return;
     case JOBS_FULL:
         front_fail(request, &QUEUE_FULL, "%s", reply->err.text);
         return;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -75,6 +75,7 @@
     JOBS_REFUSED, /* cannot be served now; nothing was changed */
     JOBS_UNCERTAIN,   /* no reply from the store; may have taken effect */
     JOBS_NOT_ALLOWED, /* no route, or the route does not accept jobs */
+    JOBS_TOO_LARGE,   /* more than the store takes in a transaction */
 };
 
 struct jobs_result {
--- a/packages/jobs/refusal.c
+++ b/packages/jobs/refusal.c
@@ -18,7 +18,7 @@
 is_refusal(enum jobs_status status)
 {
     return status == JOBS_FULL || status == JOBS_REFUSED ||
-           status == JOBS_NOT_ALLOWED;
+           status == JOBS_NOT_ALLOWED || status == JOBS_TOO_LARGE;
 }
 
 static void
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -17,6 +17,9 @@
      * of wire, since a read may wait for up to JOBS_MAX_WAIT_MS without a
      * reply; replies to pings keep the connection open meanwhile. */
     CONNECTION_SILENCE_MS = 900,
+    /* Of a message: above the text of any job that is read back, and above the
+     * largest result.  A larger message closes the connection. */
+    MAX_BODY_BYTES = 65 << 20,
 };
 
 struct jobs_rpc {
@@ -41,7 +44,7 @@
 {
     Jobs__Reply *reply = jobs__reply__unpack(NULL, answer->size, answer->body);
     struct base_error err = {0};
-    bool is_ok = reply != NULL && reply->status <= JOBS_NOT_ALLOWED;
+    bool is_ok = reply != NULL && reply->status <= JOBS_TOO_LARGE;
 
     if (is_ok && request->op == JOBS_RESULTS) {
         GBytes *bytes = g_bytes_new(reply->results.data, reply->results.len);
@@ -355,6 +358,7 @@
         .secret_key_file = desc->secret_key_file,
         .peer_keys_file = desc->peer_keys_file,
         .silence_ms = CONNECTION_SILENCE_MS,
+        .max_body_bytes = MAX_BODY_BYTES,
         .counters = desc->counters,
         .received = on_message,
         .context = rpc,
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Entries of the transaction that accepts a job, besides the pieces of its
+ * text: the head, and conditions on it, on the ended head and on a refusal. */
+enum { HEAD_ENTRIES = 4 };
+
 /* A job that is being accepted.  The head is written on the condition that the
  * job has none.  This detects a job that was accepted before, and makes a
  * write that takes effect late harmless. */
@@ -103,6 +107,18 @@
         kv->verdict == BASE_NOT_RUN ? JOBS_REFUSED : JOBS_UNCERTAIN, &kv->err);
 }
 
+static void
+refuse_too_large(struct jobs *jobs, struct submission *submission)
+{
+    struct base_error err = {0};
+
+    base_error_set(&err, BASE_INVALID,
+                   "the job's text has %zu bytes, which the store can't take "
+                   "in one transaction",
+                   g_bytes_get_size(submission->job->text));
+    finish_submission(jobs, submission, JOBS_TOO_LARGE, &err);
+}
+
 static void
 write_job(struct jobs *jobs, struct submission *submission)
 {
@@ -110,10 +126,18 @@
         platform_kv_new(PLATFORM_TXN, submission->job->id);
     GPtrArray *pieces =
         jobs_text_split(submission->job->text, jobs_piece_bytes(jobs->limits));
-    char *head_key = jobs_head_key(submission->job->id);
-    char *done_key = jobs_done_key(submission->job->id);
+    char *head_key;
+    char *done_key;
 
+    if ((int)pieces->len > jobs->limits->txn_entries - HEAD_ENTRIES) {
+        platform_kv_free(kv);
+        g_ptr_array_free(pieces, TRUE);
+        refuse_too_large(jobs, submission);
+        return;
+    }
     submission->head.n_input_pieces = (int)pieces->len;
+    head_key = jobs_head_key(submission->job->id);
+    done_key = jobs_done_key(submission->job->id);
     platform_kv_expect(kv, head_key, PLATFORM_ABSENT);
     platform_kv_expect(kv, done_key, PLATFORM_ABSENT);
     if (submission->identity[0] != '\0') {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1802,6 +1802,45 @@
     }
 }
 
+/* Guards against jobs that the store can never take and that clients hand in
+ * again and again, and against messages that close the connection between
+ * nodes: both were answered as if the job could be served later. */
+TEST(Jobs, AJobTooLargeForTheStoreIsRejectedAndOthersReachTheirHome)
+{
+    struct {
+        const char *name;
+        size_t text_bytes; /* does not compress */
+        int64_t value_bytes;
+        enum jobs_status want;
+    } cases[] = {
+        {"more pieces than a transaction has", 400000, 8192, JOBS_TOO_LARGE},
+        {"as many pieces as a transaction has", 200000, 8192, JOBS_OK},
+        {"above the usual size of a message", 6 << 20, 1 << 20, JOBS_OK},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        Site site;
+        site.store.value_bytes = row.value_bytes;
+        site.known_value_bytes = row.value_bytes;
+        for (auto &member : site.members) {
+            member.address = free_address();
+        }
+        Node one(site, "n1");
+        Node two(site, "n2");
+        std::string id = id_with_home(site, "j", "n1");
+        struct jobs_request *request =
+            jobs_request_new(JOBS_SUBMIT, id.c_str());
+        std::string text = "a " + random_text("b", row.text_bytes);
+        request->job = decode(id.c_str(), text.data(), text.size(), nullptr);
+        request->job->host = g_strdup("h");
+        request->job->path = g_strdup("/b/x");
+        EXPECT_EQ(two.call(request), row.want);
+        EXPECT_EQ(site.store.n_rejected, 0);
+        EXPECT_EQ(runner_of(id), row.want == JOBS_OK ? "n1#1" : "");
+    }
+}
+
 /* Waits for the next turn of scanners. */
 void
 wait_for_turn()
