Break a stream that another answer would have to continue

Callers saw: on a resumable route, after a stream had begun and broken off, a server that answered 400, 404, 422, 429, 301, 204 or a plain 200 left them with a connection that neither continued nor closed; the body of an error above 256 KB reached them in the middle of their stream, which ended as complete (MIXED).

Cause: any complete response below 500 ended the request, whatever had been sent before. It was dropped then, since the request had a response, and nothing else ended the request. The chat API did the same with 4xx.

Change: once an event has been relayed, only an event stream with status 200 can continue the response; anything else is a broken attempt, which is retried or breaks the connection.

--- a/packages/front/chat.c
+++ b/packages/front/chat.c
@@ -221,7 +221,10 @@
         return ATTEMPT_BROKEN;
     }
     if (result->status >= 400) {
-        return ATTEMPT_COMPLETE; /* the engine refused a bad request */
+        /* The engine refused a bad request.  In place of the rest of a stream
+         * that has begun, it is no answer. */
+        return exchange->request->is_stream ? ATTEMPT_BROKEN
+                                            : ATTEMPT_COMPLETE;
     }
     if (chat->prompt.wants_stream || !has_expected_id(chat, attempt)) {
         return ATTEMPT_BROKEN;
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -178,12 +178,30 @@
 
 /* ---- other responses ---- */
 
+/* Returns whether the body of a response that is no stream may reach the
+ * caller.  It may not in place of the rest of a stream that has begun. */
+static bool
+can_use_body(const struct exchange *exchange, const struct attempt *attempt)
+{
+    return attempt->is_event_stream || exchange->tokens == 0;
+}
+
 static void
 on_plain_body(struct exchange *exchange, struct attempt *attempt,
               const char *data, size_t size)
 {
     struct front_request *request = exchange->request;
 
+    if (!can_use_body(exchange, attempt)) {
+        /* Read to its end, which tells whether the request was refused. */
+        g_string_append_len(attempt->buffered_body, data, (gssize)size);
+        if (attempt->buffered_body->len > MAX_BUFFERED) {
+            exchange_fail_attempt(exchange, attempt,
+                                  "a response that is no stream in place of "
+                                  "the rest of one");
+        }
+        return;
+    }
     if (exchange->is_committed) {
         front_stream_write(request, data, size);
         pause_if_full(exchange, attempt);
@@ -235,6 +253,9 @@
 {
     struct ingress *ingress = (struct ingress *)exchange;
 
+    if (!can_use_body(exchange, attempt)) {
+        return ATTEMPT_BROKEN;
+    }
     if (!result->is_complete || result->err.code != BASE_OK ||
         (result->verdict == BASE_NOT_RUN && result->status >= 400)) {
         return ATTEMPT_BROKEN;
--- a/packages/front/test_chat.cc
+++ b/packages/front/test_chat.cc
@@ -268,6 +268,37 @@
     EXPECT_EQ(unstreamed.body.find("t0"), std::string::npos);
 }
 
+/* The engine that should continue a stream refuses it.  Guards against a
+ * stream that neither goes on nor ends. */
+TEST_F(Chat, ARefusalInPlaceOfTheRestOfAStreamIsAnError)
+{
+    std::atomic<int> n_runs{0};
+    auto script = [&](int fd, const std::string &request) {
+        if (n_runs++ == 0) {
+            test_write(fd, test_stream_head(request) + role_event(request) +
+                               test_token(request, 0));
+            return;
+        }
+        reply(fd, "400 Bad", request_id_header(request), "refused");
+    };
+    struct timeval limit = {4, 0};
+    struct test_server one(script);
+    struct test_server two(script);
+
+    start({&one, &two});
+    int fd = test_connect(port);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    test_write(fd, test_chat(true));
+    struct answer answer = test_read_answer(fd);
+    close(fd);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.is_complete);
+    EXPECT_EQ(join_contents(answer.body), "t0 ");
+    EXPECT_EQ(count(answer.body, "[DONE]"), 0u);
+    EXPECT_EQ(count(answer.body, "refused"), 0u);
+    EXPECT_NE(answer.body.find("data: {\"error\":{"), std::string::npos);
+}
+
 TEST_F(Chat, ARequestThatCrashesServersEndsAfterAFew)
 {
     std::atomic<int> n_crashes{0};
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -378,6 +378,86 @@
     EXPECT_EQ(resumed, "1");
 }
 
+/* Sends a request and reads the response; one that does not end within some
+ * seconds is left incomplete. */
+struct answer
+ask_briefly(int port, const std::string &request)
+{
+    struct timeval limit = {4, 0};
+    int fd = test_connect(port);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    test_write(fd, request);
+    struct answer answer = test_read_answer(fd);
+    char byte;
+    answer.headers["closed"] =
+        !answer.is_complete && recv(fd, &byte, 1, 0) == 0 ? "yes" : "no";
+    close(fd);
+    return answer;
+}
+
+/* A stream breaks off, and the server that should continue it answers with
+ * something else.  Guards against the text of an error inside the stream,
+ * against a stream that looks complete, and against a connection that neither
+ * continues nor closes. */
+TEST_F(Ingress, AnotherAnswerInPlaceOfTheRestOfAStreamBreaksIt)
+{
+    static const struct {
+        const char *name;
+        std::string head; /* with the id in front of the empty line */
+        std::string body;
+    } CASES[] = {
+        {"400", "HTTP/1.1 400 Bad\r\ncontent-length: 5\r\n", "error"},
+        {"404", "HTTP/1.1 404 None\r\ncontent-length: 5\r\n", "error"},
+        {"422", "HTTP/1.1 422 No\r\ncontent-length: 5\r\n", "error"},
+        {"429", "HTTP/1.1 429 Many\r\ncontent-length: 5\r\n", "error"},
+        {"301", "HTTP/1.1 301 Moved\r\ncontent-length: 0\r\n", ""},
+        {"204", "HTTP/1.1 204 None\r\n", ""},
+        {"500", "HTTP/1.1 500 Failed\r\ncontent-length: 5\r\n", "error"},
+        {"503, not run",
+         "HTTP/1.1 503 Busy\r\nx-refused: 1\r\ncontent-length: 5\r\n",
+         "error"},
+        {"200 with a length",
+         "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
+         "content-length: 5\r\n",
+         "error"},
+        {"200 in chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+         "5\r\nerror\r\n0\r\n\r\n"},
+        {"400 of 300 KB", "HTTP/1.1 400 Bad\r\ncontent-length: 300000\r\n",
+         std::string(300000, 'e')},
+        {"an error sent as an event stream",
+         "HTTP/1.1 404 None\r\ncontent-type: text/event-stream\r\n"
+         "content-length: 13\r\n",
+         "data: error\n\n"},
+    };
+    size_t current = 0;
+    std::atomic<int> n_runs{0};
+    auto script = [&](int fd, const std::string &request) {
+        if (n_runs++ == 0) {
+            test_write(fd, stream_head(request) + chunk(event(1)) +
+                               chunk(event(2)));
+            return;
+        }
+        test_write(fd, CASES[current].head +
+                           "x-id: " + test_header(request, "x-id") +
+                           "\r\n\r\n" + CASES[current].body);
+    };
+    struct test_server one(script);
+    struct test_server two(script);
+
+    is_resumable = true;
+    begin({&one, &two});
+    for (; current < G_N_ELEMENTS(CASES); current++) {
+        SCOPED_TRACE(CASES[current].name);
+        n_runs = 0;
+        struct answer answer = ask_briefly(port, post("/a/x", "b"));
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_FALSE(answer.is_complete);
+        EXPECT_EQ(answer.headers["closed"], "yes");
+        EXPECT_EQ(answer.body, event(1) + event(2));
+    }
+    wait_until_released();
+}
+
 TEST_F(Ingress, RunsOnNoMoreServersThanTheRouteAllows)
 {
     std::atomic<int> n_runs{0};
