Take no request late in a planned stop that might be cut off at its end

Callers saw: requests that came 2.5 to 4 s after the SIGTERM of a front were passed on and cut at the end of its drain (LOST), among them some that may not be repeated.

Cause: the front took all requests for 4,000 of its 7,500 ms, whatever they might last.

Change: all requests are taken for 2,500 ms; after that those whose deadline and route's timeout end 200 ms before the drain does. The others get a 503 that says "not run", at once. front_drain is told how long the drain lasts.

Ingress.ADrainingNodeTakesNoLateRequestThatItMightCutOff failed with the old rule put back, and passes; all 72 tests of the package pass.

--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -10,10 +10,11 @@
      * connection may still send one. */
     IDLE_MS = 500,
     STOP_WAIT_MS = 3000,
-    /* How long requests are still accepted after the start of a planned stop.
-     * Load balancers have stopped sending by then, and half of the usual grace
-     * period is left for the last requests. */
-    DRAIN_ACCEPT_MS = 4000,
+    /* After the start of a planned stop, how long requests are accepted that
+     * might not end before it.  Load balancers have stopped sending by then; a
+     * refusal moves the last connections. */
+    DRAIN_ACCEPT_MS = 2500,
+    DRAIN_MARGIN_MS = 200, /* to send the end of a response */
 };
 
 struct update {
@@ -221,29 +222,36 @@
 }
 
 /* Reports not ready and closes keep-alive connections after their next
- * response.  Requests that are open or still arrive are served; for a site,
- * see front_is_closing.  May be called from any thread. */
+ * response.  The front will be stopped in drain_ms, or earlier once it is
+ * idle. Requests that are open or still arrive are served; for a site, see
+ * front_may_cut_off.  May be called from any thread. */
 void
-front_drain(struct front *front)
+front_drain(struct front *front, int64_t drain_ms)
 {
     int64_t now_ms = base_clock_ms();
 
     __atomic_store_n(&front->last_request_ms, now_ms, __ATOMIC_RELAXED);
     __atomic_store_n(&front->draining_ms, now_ms, __ATOMIC_RELAXED);
+    __atomic_store_n(&front->drain_end_ms, now_ms + drain_ms,
+                     __ATOMIC_RELAXED);
     g_atomic_int_set(&front->is_draining, 1);
     base_log(BASE_LOG_NOTICE, "front.draining", "open=%d",
              g_atomic_int_get(&front->n_open));
 }
 
-/* Returns whether a planned stop is so near that a new request might not end
- * before it.  May be called from any thread. */
+/* Returns whether a planned stop would cut off a new request that may last
+ * until until_ms, on base_clock_ms.  At the start of the stop requests are
+ * accepted all the same: most end long before their deadline, and refusals
+ * would meet all connections at once.  May be called from any thread. */
 bool
-front_is_closing(const struct front *front)
+front_may_cut_off(const struct front *front, int64_t until_ms)
 {
-    int64_t since_ms = __atomic_load_n(&front->draining_ms, __ATOMIC_RELAXED);
+    int64_t start_ms = __atomic_load_n(&front->draining_ms, __ATOMIC_RELAXED);
+    int64_t end_ms = __atomic_load_n(&front->drain_end_ms, __ATOMIC_RELAXED);
 
     return g_atomic_int_get(&front->is_draining) &&
-           base_clock_ms() - since_ms >= DRAIN_ACCEPT_MS;
+           base_clock_ms() - start_ms >= DRAIN_ACCEPT_MS &&
+           until_ms > end_ms - DRAIN_MARGIN_MS;
 }
 
 /* Returns whether no request is open and none has arrived for IDLE_MS; health
--- a/packages/front/front.h
+++ b/packages/front/front.h
@@ -4,7 +4,7 @@
  *
  *     struct front *front = front_start(&(struct front_desc){...}, &err);
  *     front_update(front, world, view);
- *     front_drain(front);             // reports not ready
+ *     front_drain(front, 7500);       // reports not ready
  *     while (!front_is_idle(front)) ...
  *     front_stop(front);
  */
@@ -58,7 +58,7 @@
 int front_port(const struct front *front);
 void front_update(struct front *front, struct world *world,
                   struct members_view *view);
-void front_drain(struct front *front);
+void front_drain(struct front *front, int64_t drain_ms);
 bool front_is_idle(struct front *front);
 void front_stop(struct front *front);
 
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -98,6 +98,7 @@
     int n_open;                   /* atomic: number of open requests */
     int64_t last_request_ms;      /* atomic */
     int64_t draining_ms;          /* atomic: time when draining started */
+    int64_t drain_end_ms;         /* atomic: open requests are cut off then */
 };
 
 /* ---- overload reductions, by server and operator (reductions.c) ---- */
@@ -297,7 +298,7 @@
 const struct front_route *front_protocol_route(struct front_request *request);
 
 /* front.c */
-bool front_is_closing(const struct front *front);
+bool front_may_cut_off(const struct front *front, int64_t until_ms);
 
 /* ---- handlers ---- */
 
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -5,6 +5,10 @@
 /* Selects the handler of a request on a site: one of the protocol's calls, the
  * node's metrics page, or the route with the request's host and path. */
 
+/* Longest time of a call about a job: a forwarded submission, a list of heads
+ * and a write, each with its timeout. */
+enum { JOB_CALL_MAX_MS = 7000 };
+
 static const struct front_route READY = {"ready", "GET", "",
                                          false,   0,     &FRONT_READY};
 static const struct front_route METRICS = {"metrics", "GET", "",
@@ -20,6 +24,28 @@
 static const struct front_route ANSWERED = {"unknown", "*", "",
                                             true,      0,   &NO_HANDLER};
 
+/* Refuses a request that a planned stop might cut off, and closes its
+ * connection after the response.  until_ms: when it has ended at the latest,
+ * on base_clock_ms.  Returns whether it was refused. */
+static bool
+refuse_if_stopping(struct front_request *request, int64_t until_ms)
+{
+    if (!front_may_cut_off(request->front, until_ms)) {
+        return false;
+    }
+    request->closes_after = true;
+    front_fail(request, &FRONT_NOT_READY, "this node is stopping");
+    return true;
+}
+
+/* Returns when a call about a job has ended at the latest. */
+static int64_t
+job_call_end_ms(const struct front_request *request)
+{
+    return MIN(request->deadline_ms,
+               request->started_us / 1000 + JOB_CALL_MAX_MS);
+}
+
 /* Returns the route for the request's host and path; on an error the request
  * has been answered and the result is ANSWERED. */
 static const struct front_route *
@@ -27,6 +53,7 @@
 {
     const char *host = front_request_header(request, "host");
     const struct world_ingress *route;
+    int64_t started_ms = request->started_us / 1000;
 
     if (request->world == NULL) {
         front_fail(request, &FRONT_NOT_READY,
@@ -42,28 +69,17 @@
         return &ANSWERED;
     }
     if (route->kind != WORLD_INGRESS_BATCH) {
-        return &INGRESS;
+        int64_t until_ms =
+            MIN(request->deadline_ms, started_ms + route->timeout_ms);
+        return refuse_if_stopping(request, until_ms) ? &ANSWERED : &INGRESS;
     }
     if (strcmp(request->method, "POST") != 0) {
         front_fail(request, &FRONT_WRONG_METHOD,
                    "jobs are submitted with POST");
         return &ANSWERED;
     }
-    return &JOB_SUBMIT;
-}
-
-/* Refuses a request that arrives when a stopping node accepts no more, and
- * closes its connection after the response.  Returns whether it was refused.
- */
-static bool
-refuse_if_stopping(struct front_request *request)
-{
-    if (!front_is_closing(request->front)) {
-        return false;
-    }
-    request->closes_after = true;
-    front_fail(request, &FRONT_NOT_READY, "this node is stopping");
-    return true;
+    return refuse_if_stopping(request, job_call_end_ms(request)) ? &ANSWERED
+                                                                 : &JOB_SUBMIT;
 }
 
 /* Returns the route whose handler serves a request.  On a failure the request
@@ -80,7 +96,9 @@
     case FRONT_CALL_JOB_RESULTS:
     case FRONT_CALL_JOB_INPUT:
     case FRONT_CALL_JOB_END:
-        return refuse_if_stopping(request) ? &ANSWERED : &JOB_CALL;
+        return refuse_if_stopping(request, job_call_end_ms(request))
+                   ? &ANSWERED
+                   : &JOB_CALL;
     case FRONT_CALL_NONE:
         break;
     }
@@ -88,6 +106,5 @@
         strcmp(request->method, "GET") == 0) {
         return &METRICS;
     }
-    return refuse_if_stopping(request) ? &ANSWERED
-                                       : find_by_host_and_path(request);
+    return find_by_host_and_path(request);
 }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -794,7 +794,7 @@
 {
     struct test_server engine(serve_stream);
     begin({&engine});
-    front_drain(front);
+    front_drain(front, 7500);
     struct answer answer = ask(post("/a/x", "b"));
     EXPECT_EQ(answer.status, 200);
     EXPECT_EQ(answer.headers["connection"], "close");
@@ -802,4 +802,39 @@
     EXPECT_EQ(ask(post("/a/x", "b")).status, 503);
 }
 
+/* A draining node serves requests for a few seconds more and closes their
+ * connections.  Guards against requests that are taken late and cut off at the
+ * end of the drain: later, only those are taken that will have ended by then;
+ * the others are told that they have not run, and can be served elsewhere. */
+TEST_F(Ingress, ADrainingNodeTakesNoLateRequestThatItMightCutOff)
+{
+    enum { DRAIN_MS = 10000 };
+    static const struct {
+        int64_t at_ms; /* since the start of the drain */
+        const char *left_ms;
+        int status;
+    } CASES[] = {
+        {0, "60000", 200},   {2700, "9000", 503}, {2700, "1000", 200},
+        {5000, "6000", 503}, {5000, "500", 200},  {9000, "2000", 503},
+    };
+    struct test_server engine(serve_stream);
+
+    timeout_ms = 10000;
+    begin({&engine});
+    front_drain(front, DRAIN_MS);
+    int64_t start_ms = base_clock_ms();
+    for (const auto &row : CASES) {
+        SCOPED_TRACE(std::to_string(row.at_ms) + " ms, left " + row.left_ms);
+        int64_t wait_ms = start_ms + row.at_ms - base_clock_ms();
+        g_usleep((gulong)MAX(wait_ms, 0) * 1000);
+        struct answer answer = ask(post(
+            "/a/x", "b", std::string("x-left-ms: ") + row.left_ms + "\r\n"));
+        EXPECT_EQ(answer.status, row.status);
+        EXPECT_EQ(answer.headers["connection"], "close");
+        if (row.status == 503) {
+            EXPECT_EQ(answer.headers["x-cardamompick-ran"], "no");
+        }
+    }
+}
+
 } // namespace
--- a/packages/front/test_requests.cc
+++ b/packages/front/test_requests.cc
@@ -248,7 +248,7 @@
     int fd = test_connect(port);
     test_write(fd, test_get("/healthz"));
     EXPECT_EQ(test_read_answer(fd).status, 200);
-    front_drain(front);
+    front_drain(front, 10000);
     EXPECT_FALSE(front_is_idle(front));
     struct answer ready = ask(test_get("/readyz"));
     EXPECT_EQ(ready.status, 503);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -365,7 +365,7 @@
         node->settings->site.is_set ? SITE_UNREADY_MS : UNREADY_MS;
     bool is_done = false;
 
-    front_drain(node->front);
+    front_drain(node->front, node->settings->drain_ms);
     if (node->batch != NULL) {
         batch_drain(node->batch);
     }
