--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -760,6 +760,95 @@
     }
 }
 
+/* A server stops in the middle of a response and closes.  Guards against a
+ * response that reaches the caller empty or short, but framed as complete. */
+TEST_F(Ingress, AResponseCutInItsHeadOrFramingIsNeverComplete)
+{
+    static const struct {
+        const char *name;
+        const char *text; /* "@" stands for the header with the id */
+        bool has_body;    /* some of it may reach the caller */
+    } CASES[] = {
+        {"nothing", "", false},
+        {"in the status line", "HTTP/1.1 200", false},
+        {"after the status line", "HTTP/1.1 200 OK\r\n", false},
+        {"in a header's name", "HTTP/1.1 200 OK\r\n@x-pro", false},
+        {"in a header's value", "HTTP/1.1 200 OK\r\n@x-proof: p", false},
+        {"before the empty line", "HTTP/1.1 200 OK\r\n@x-proof: p1\r\n",
+         false},
+        {"in the empty line", "HTTP/1.1 200 OK\r\n@x-proof: p1\r\n\r", false},
+        {"with a length of 0", "HTTP/1.1 200 OK\r\n@content-length: 0\r\n",
+         false},
+        {"with a length", "HTTP/1.1 200 OK\r\n@content-length: 5\r\n", false},
+        {"of an event stream",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n", false},
+        {"of chunks", "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n",
+         false},
+        {"after an interim response", "HTTP/1.1 100 Continue\r\n\r\n", false},
+        {"after an interim response and a status line",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", false},
+        {"without any chunk",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n", true},
+        {"in the size of a chunk",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n2", true},
+        {"in a chunk",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n5\r\nab",
+         true},
+        {"after a chunk",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n",
+         true},
+        {"in the last chunk",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0",
+         true},
+        {"before the trailers",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\n",
+         true},
+        {"in the trailers",
+         "HTTP/1.1 200 OK\r\n@transfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\nx-a: b\r\n",
+         true},
+        {"short of its length",
+         "HTTP/1.1 200 OK\r\n@content-length: 5\r\n\r\nab", true},
+    };
+
+    for (enum world_ingress_kind route :
+         {WORLD_INGRESS_SAFE, WORLD_INGRESS_UNSAFE, WORLD_INGRESS_STREAM}) {
+        size_t current = 0;
+        int n_sent = 0; /* a request that comes again would be quarantined */
+        struct test_server engine([&](int fd, const std::string &request) {
+            std::string text = CASES[current].text;
+            size_t at = text.find('@');
+            if (at != std::string::npos) {
+                text.replace(at, 1,
+                             "x-id: " + test_header(request, "x-id") + "\r\n");
+            }
+            test_write(fd, text);
+        });
+        kind = route;
+        begin({&engine});
+        for (; current < G_N_ELEMENTS(CASES); current++) {
+            SCOPED_TRACE(std::string(CASES[current].name) + ", kind " +
+                         std::to_string(route));
+            struct answer answer =
+                ask_briefly(port, post("/a/" + std::to_string(n_sent++), "b"));
+            if (CASES[current].has_body && answer.status == 200) {
+                EXPECT_FALSE(answer.is_complete);
+                continue;
+            }
+            EXPECT_GE(answer.status, 500);
+            EXPECT_NE(answer.headers["x-cardamompick-ran"], "no");
+        }
+        wait_until_released();
+        front_stop(front);
+        front = nullptr;
+        world_unref(world);
+        world = nullptr;
+    }
+}
+
 TEST_F(Ingress, AnswersPipelinedRequestsInOrder)
 {
     struct test_server engine(serve_stream);
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1040,6 +1040,60 @@
     EXPECT_EQ(resumed, "2");
 }
 
+/* A server stops in the middle of a response and closes.  Guards against a
+ * result that is listed as completed though its output is cut off. */
+TEST(Jobs, AResponseCutInItsHeadOrFramingIsNoResult)
+{
+    static const struct {
+        const char *name;
+        const char *text; /* "@" stands for the header with the id */
+    } CASES[] = {
+        {"after the status line", "HTTP/1.1 200 OK\r\n"},
+        {"before the empty line",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n"},
+        {"with a length of 0",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n"
+         "content-length: 0\r\n"},
+        {"without any chunk",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n"
+         "transfer-encoding: chunked\r\n\r\n"},
+        {"after an event",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n"
+         "transfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: t1\n\n"
+         "id\r\n"},
+        {"before the trailers",
+         "HTTP/1.1 200 OK\r\n@content-type: text/event-stream\r\n"
+         "transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: t1\n\n\r\n"
+         "0\r\n"},
+        {"after an interim response",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"},
+    };
+
+    for (const auto &row : CASES) {
+        SCOPED_TRACE(row.name);
+        std::atomic<int> n_runs{0};
+        Site site([&](int fd, const std::string &request) {
+            if (n_runs++ > 0) {
+                serve(fd, request);
+                return;
+            }
+            std::string text = row.text;
+            size_t at = text.find('@');
+            if (at != std::string::npos) {
+                text.replace(at, 1,
+                             "x-id: " + test_header(request, "x-id") + "\r\n");
+            }
+            test_write(fd, text);
+        });
+        Node node(site, "n1");
+        ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+        EXPECT_EQ(
+            node.wait_for("j", 1),
+            std::vector<std::string>{std::string("a=") + COMPLETE_OUTPUT});
+        EXPECT_EQ(n_runs, 2);
+    }
+}
+
 /* A server sends until the client closes.  The node must neither collect all
  * of it nor keep the item there until the attempt's time limit. */
 TEST(Jobs, AnEndlessStreamIsClosedAndTheItemRunsAgain)
@@ -1769,7 +1823,8 @@
                 resumed.insert(after);
                 test_write(
                     fd, head(request) + (after < N_EVENTS ? start : "") +
-                            chunk(event_of(N_EVENTS + 1, data)) + "0\r\n\r\n");
+                            chunk(event_of(N_EVENTS + 1, data(N_EVENTS + 1))) +
+                            "0\r\n\r\n");
                 return;
             }
             test_write(fd, head(request) + start);
