--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -70,9 +70,9 @@
     char *public_key_file;
     char *secret_key_file;
     char *peer_keys_file;
-    char **kv;     /* key-value service; ends with NULL */
-    char *hosts;   /* host list; NULL: none */
-    char *weights; /* weight store; NULL: none */
+    char **kv;           /* key-value service; ends with NULL */
+    char *hosts;         /* host list; NULL: none */
+    char *weights;       /* weight store; NULL: none */
     int64_t value_bytes; /* limit of a stored value; 0: the client's */
     struct node_site_settings site;
     bool is_naive; /* round robin without admission contracts, as a baseline */
