--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -389,6 +389,7 @@
     return packed;
 }
 
+/* Compresses what was collected for a piece, and begins the next one. */
 static void
 end_piece(GByteArray *plain, GPtrArray *pieces)
 {
--- a/packages/jobs/refusal.c
+++ b/packages/jobs/refusal.c
@@ -14,6 +14,7 @@
  * that submission is conditional on the absence of the refusal.  If the store
  * does not answer, neither does the refusal promise anything. */
 
+/* Returns whether a status tells the client that nothing was done. */
 static bool
 is_refusal(enum jobs_status status)
 {
@@ -21,6 +22,7 @@
            status == JOBS_NOT_ALLOWED || status == JOBS_TOO_LARGE;
 }
 
+/* Sends a reply as it is. */
 static void
 reply(struct jobs_request *request, enum jobs_status status)
 {
@@ -28,6 +30,8 @@
     base_call_reply(&request->call);
 }
 
+/* The refusal is stored and can be sent, the job exists after all, or the
+ * store leaves it open. */
 static void
 on_stored(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -55,6 +59,7 @@
     reply(request, status);
 }
 
+/* Stores the refusal of a submission, unless the job exists. */
 static void
 store_refusal(struct jobs *jobs, struct jobs_request *request)
 {
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -525,6 +525,7 @@
     jobs_kv_send(run->jobs, kv, (struct jobs_kv_callback){on_committed, run});
 }
 
+/* Returns the size of an item's encoded result. */
 static int64_t
 result_bytes(const struct jobs_run *run, int item)
 {
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -107,6 +107,7 @@
         kv->verdict == BASE_NOT_RUN ? JOBS_REFUSED : JOBS_UNCERTAIN, &kv->err);
 }
 
+/* Refuses a job that no later attempt could store either. */
 static void
 refuse_too_large(struct jobs *jobs, struct submission *submission)
 {
--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -44,8 +44,8 @@
     base_call_reply(&kv->call);
 }
 
-/* Logs an operation that was refused for good.  Its writer can't know how the
- * value that is too large came about; the key tells. */
+/* Logs and counts an operation that was refused for good; its key tells which
+ * writer sent it. */
 static void
 log_rejected(struct platform *platform, const struct platform_kv *kv)
 {
@@ -196,6 +196,8 @@
            op == PLATFORM_LEASE_REVOKE;
 }
 
+/* Returns whether a value, with the identity that is stored in front of it, is
+ * within the service's limit; if not, sets kv->err. */
 static bool
 is_value_allowed(const struct platform *platform, struct platform_kv *kv,
                  const char *key, GBytes *value)
