Move the checkpoints of jobs out of run.c

The checkpoints are a file of their own now (240 lines), behind five functions; what they do is unchanged.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -82,7 +82,7 @@
         struct jobs_run *run =
             jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
                            claim->revision, g_steal_pointer(&claim->results));
-        jobs_run_restore_checkpoint(run, claim->partials, n_partials);
+        jobs_checkpoint_restore(run, claim->partials, n_partials);
     }
     g_hash_table_remove(jobs->pending_ids, claim->id);
     free_claim(claim);
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -10,8 +10,8 @@
  *   read.c       reads of results and inputs, and ends of jobs, also of jobs
  *                that other nodes run
  *   archive.c    results of ended jobs that other nodes ran
- *   run.c        a job that this node runs: commits of its results and
- *                checkpoints
+ *   run.c        a job that this node runs: commits of its results
+ *   checkpoint.c partial outputs of a job's unfinished items
  *   lease.c      the lease of this node and its runner entry
  *   home.c       which node runs a job
  *   runner_state.c  whether the runner of a job has stopped
@@ -38,6 +38,8 @@
 
 enum {
     JOBS_TICK_MS = 50,
+    JOBS_WRITE_RETRY_MS = 300, /* after a commit or checkpoint that failed */
+    JOBS_MAX_CHECKPOINT_PIECES = 8,
     JOBS_SERVER_SIZE = 64,
 };
 
@@ -254,8 +256,7 @@
 struct jobs_run *jobs_run_start(struct jobs *jobs, struct jobs_job *job,
                                 struct jobs_head *head, int64_t revision,
                                 GPtrArray *results);
-void jobs_run_restore_checkpoint(struct jobs_run *run,
-                                 const GPtrArray *partials, int n_pieces);
+bool jobs_run_shrink_pieces(struct jobs_run *run);
 void jobs_run_item_done(struct jobs_run *run, struct jobs_work *work,
                         bool is_completed);
 void jobs_run_stop(struct jobs_run *run, const char *why);
@@ -265,6 +266,16 @@
                           int64_t revision);
 bool jobs_run_is_complete(const struct jobs_run *run);
 
+/* ---- checkpoint.c ---- */
+
+void jobs_checkpoint_init(struct jobs_run *run);
+void jobs_checkpoint_restore(struct jobs_run *run, const GPtrArray *partials,
+                             int n_pieces);
+void jobs_checkpoint_add(struct jobs_run *run, struct platform_kv *kv,
+                         bool has_output);
+void jobs_checkpoint_stored(struct jobs_run *run);
+void jobs_checkpoint_tick(struct jobs_run *run, int64_t now_ms);
+
 /* ---- lease.c ---- */
 
 /* Called when the node holds its lease, or could not get it in time. */
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -9,20 +9,11 @@
     /* A job that is complete, or that is due within this time, is committed
      * at once. */
     DUE_SOON_MS = 2000,
-    RETRY_MS = 300,           /* after a commit without a reply */
     REJECTED_RETRY_MS = 5000, /* after one that the store refuses for good */
-    /* Pieces of a checkpoint and of the results of a commit.  Both fit into a
-     * transaction of 32 entries, with four for the heads. */
-    MAX_CHECKPOINT_PIECES = 8,
+    /* Pieces of the results of a commit.  They fit into a transaction of 32
+     * entries with JOBS_MAX_CHECKPOINT_PIECES and four for the heads. */
     MAX_RESULT_PIECES = 20,
-    MIN_PIECE_BYTES = 4096,   /* smaller pieces are not tried */
-    MAX_CHECKPOINT_LINE = 64, /* numbers of an item in a checkpoint */
-    /* Between checkpoints of running items.  Longer intervals lose more output
-     * when a node is killed; shorter ones write more bytes to the key-value
-     * service. */
-    CHECKPOINT_MS = 5000,
-    MIN_CHECKPOINT_EVENTS =
-        150, /* new events, over all items, for a checkpoint */
+    MIN_PIECE_BYTES = 4096, /* smaller pieces are not tried */
     /* Complete runs are kept for readers this long; then their results are
      * read from the key-value service. */
     COMPLETE_RUN_MS = 600000,
@@ -93,7 +84,7 @@
     run->max_attempts = 1;
     run->give_up_at_ms = INT64_MAX;
     run->is_unconfirmed = !jobs_holds_lease(jobs);
-    run->next_checkpoint_ms = base_clock_ms() + CHECKPOINT_MS;
+    jobs_checkpoint_init(run);
     run->last_commit_ms = base_clock_ms();
     for (guint i = 0; i < job->items->len; i++) {
         init_work(run, (int)i);
@@ -109,121 +100,11 @@
     return run;
 }
 
-/* Restores the checkpoint of the previous runner, which has n_pieces stored
- * pieces.  For each item it has a line with the number of events, the id of
- * the last event and the number of failures, and after it the output received
- * so far. */
-void
-jobs_run_restore_checkpoint(struct jobs_run *run, const GPtrArray *partials,
-                            int n_pieces)
-{
-    run->n_checkpoint_pieces = n_pieces;
-    for (guint i = 0; i < partials->len; i++) {
-        const struct jobs_result *partial = partials->pdata[i];
-        const char *text = memchr(partial->text, '\n', partial->size);
-        for (guint n = 0; text != NULL && n < run->job->items->len; n++) {
-            const struct jobs_item *item = run->job->items->pdata[n];
-            struct jobs_events *events = &run->works[n].events;
-            char *last_id;
-            char *n_failures;
-            if (strcmp(item->id, partial->id) != 0 ||
-                run->works[n].state != JOBS_WORK_WAITING) {
-                continue;
-            }
-            events->count = g_ascii_strtoll(partial->text, &last_id, 10);
-            events->last_id = g_ascii_strtoll(last_id, &n_failures, 10);
-            run->works[n].n_failures =
-                (int)g_ascii_strtoll(n_failures, NULL, 10);
-            g_string_truncate(events->text, 0);
-            g_string_append_len(
-                events->text, text + 1,
-                (gssize)(partial->size - (size_t)(text + 1 - partial->text)));
-        }
-    }
-}
-
-/* Returns the entry of an item in a checkpoint; without its output, the next
- * runner starts the item again.  NULL: there is nothing to keep. */
-static struct jobs_result *
-make_partial(const struct jobs_work *work, const char *id, bool has_output)
-{
-    bool may_resume = has_output && jobs_events_may_resume(&work->events);
-    struct jobs_result *partial;
-    GString *text;
-
-    if (!may_resume && work->n_failures == 0) {
-        return NULL;
-    }
-    text = g_string_new(NULL);
-    g_string_printf(text, "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %d\n",
-                    may_resume ? work->events.count : 0,
-                    may_resume ? work->events.last_id : 0, work->n_failures);
-    if (may_resume) {
-        g_string_append_len(text, work->events.text->str,
-                            (gssize)work->events.text->len);
-    }
-    partial = jobs_result_new(id, true, text->str, text->len);
-    g_string_free(text, TRUE);
-    return partial;
-}
-
-/* Returns the pieces of a checkpoint of the open items, of GBytes, owned by
- * the caller.  Outputs that do not fit into MAX_CHECKPOINT_PIECES are left
- * out. */
-static GPtrArray *
-encode_checkpoint(const struct jobs_run *run)
-{
-    GPtrArray *partials = g_ptr_array_new_with_free_func(jobs_result_free);
-    int64_t entry_bytes =
-        jobs_result_bytes("", JOBS_ID_SIZE + MAX_CHECKPOINT_LINE);
-    /* Each end of a piece may leave some room and repeat the item's id. */
-    int64_t room =
-        MAX_CHECKPOINT_PIECES * (run->piece_bytes - 2 * entry_bytes) -
-        run->job->items->len * entry_bytes;
-    GPtrArray *pieces;
-
-    for (guint i = 0; i < run->job->items->len; i++) {
-        const struct jobs_work *work = &run->works[i];
-        const struct jobs_item *item = run->job->items->pdata[i];
-        int64_t size = (int64_t)work->events.text->len;
-        struct jobs_result *partial;
-        if (work->state >= JOBS_WORK_DONE) {
-            continue;
-        }
-        partial = make_partial(work, item->id, size <= room);
-        if (partial != NULL) {
-            room -= size <= room ? size : 0;
-            g_ptr_array_add(partials, partial);
-        }
-    }
-    pieces = jobs_results_split(partials, run->piece_bytes);
-    g_ptr_array_free(partials, TRUE);
-    return pieces;
-}
-
-/* Adds the writes of a checkpoint to a transaction, and the removal of pieces
- * of an earlier one that had more. */
-static void
-add_checkpoint(struct jobs_run *run, struct platform_kv *kv,
-               const GPtrArray *pieces)
-{
-    for (int i = 0; i < MAX((int)pieces->len, run->n_checkpoint_pieces); i++) {
-        char *key = jobs_checkpoint_key(run->head.id, i);
-        GBytes *value =
-            i < (int)pieces->len ? g_bytes_ref(pieces->pdata[i]) : NULL;
-        platform_kv_write(kv, key, value, 0);
-        g_free(key);
-    }
-    run->n_sent_pieces = (int)pieces->len;
-    run->n_checkpoint_pieces =
-        MAX(run->n_checkpoint_pieces, run->n_sent_pieces);
-}
-
 /* Makes later pieces smaller, after the store has refused some for good: it
  * may take less than its limits say.  Returns false if they are small already.
  */
-static bool
-shrink_pieces(struct jobs_run *run)
+bool
+jobs_run_shrink_pieces(struct jobs_run *run)
 {
     if (run->piece_bytes / 2 < MIN_PIECE_BYTES) {
         return false;
@@ -343,7 +224,7 @@
     run->revision = revision;
     run->is_committing = false;
     if (run->is_releasing) {
-        run->n_checkpoint_pieces = run->n_sent_pieces;
+        jobs_checkpoint_stored(run);
     }
     run->last_commit_ms = base_clock_ms();
     g_array_set_size(run->committing, 0);
@@ -431,7 +312,7 @@
     bool is_certain = !run->is_commit_uncertain && kv->verdict == BASE_NOT_RUN;
     bool may_shrink =
         is_certain && 2 * run->commit_pieces->len <= MAX_RESULT_PIECES;
-    bool is_smaller = may_shrink && shrink_pieces(run);
+    bool is_smaller = may_shrink && jobs_run_shrink_pieces(run);
 
     base_counter_add(run->jobs->n_commits_rejected, 1);
     base_log(BASE_LOG_ERROR, "jobs.commit_rejected",
@@ -439,8 +320,8 @@
              " ran=%s error=\"%s\"",
              run->head.id, run->committing->len, run->commit_pieces->len,
              run->piece_bytes, base_verdict_name(kv->verdict), kv->err.text);
-    run->next_commit_ms =
-        base_clock_ms() + (is_smaller ? RETRY_MS : REJECTED_RETRY_MS);
+    run->next_commit_ms = base_clock_ms() + (is_smaller ? JOBS_WRITE_RETRY_MS
+                                                        : REJECTED_RETRY_MS);
     if (is_certain) {
         run->is_committing = false;
         run->is_releasing = false;
@@ -474,7 +355,7 @@
         /* The same commit is sent again, since it may have taken effect or
          * take effect late. */
         run->is_commit_uncertain |= kv->verdict != BASE_NOT_RUN;
-        run->next_commit_ms = base_clock_ms() + RETRY_MS;
+        run->next_commit_ms = base_clock_ms() + JOBS_WRITE_RETRY_MS;
         return;
     }
 }
@@ -512,14 +393,11 @@
     }
     add_results(run, kv);
     if (run->is_releasing || !jobs_head_is_open(&run->next_head)) {
-        GPtrArray *checkpoint =
-            run->is_releasing ? encode_checkpoint(run) : g_ptr_array_new();
-        add_checkpoint(run, kv, checkpoint);
-        g_ptr_array_free(checkpoint, TRUE);
+        jobs_checkpoint_add(run, kv, run->is_releasing);
     }
     g_free(head_key);
     g_free(done_key);
-    run->next_commit_ms = base_clock_ms() + RETRY_MS;
+    run->next_commit_ms = base_clock_ms() + JOBS_WRITE_RETRY_MS;
     run->n_references++;
     run->n_writes++;
     jobs_kv_send(run->jobs, kv, (struct jobs_kv_callback){on_committed, run});
@@ -623,85 +501,6 @@
     return is_urgent && has_uncommitted_results(run);
 }
 
-/* ---- checkpoints ---- */
-
-static int64_t
-count_events(const struct jobs_run *run)
-{
-    int64_t n_events = 0;
-
-    for (guint i = 0; i < run->job->items->len; i++) {
-        if (run->works[i].state < JOBS_WORK_DONE) {
-            n_events += run->works[i].events.count;
-        }
-    }
-    return n_events;
-}
-
-static void
-on_checkpoint(struct jobs *jobs, struct platform_kv *kv, void *context)
-{
-    struct jobs_run *run = context;
-
-    (void)jobs;
-    run->n_references--;
-    run->n_writes--;
-    if (kv->status == PLATFORM_OK) {
-        run->n_checkpoint_pieces = run->n_sent_pieces;
-    }
-    else if (kv->status != PLATFORM_REJECTED || shrink_pieces(run)) {
-        run->is_checkpoint_requested =
-            true; /* the next tick writes it again */
-        run->next_commit_ms = base_clock_ms() + RETRY_MS;
-    }
-}
-
-/* Writes a checkpoint of the open items, from which the next runner resumes.
- * The write is conditional on the head's revision, so a runner that has lost
- * the job writes nothing. */
-static void
-write_checkpoint(struct jobs_run *run)
-{
-    GPtrArray *pieces = encode_checkpoint(run);
-    struct platform_kv *kv;
-    char *head_key;
-
-    if (pieces->len > 0) {
-        kv = platform_kv_new(PLATFORM_TXN, run->head.id);
-        head_key = jobs_head_key(run->head.id);
-        platform_kv_expect(kv, head_key, run->revision);
-        add_checkpoint(run, kv, pieces);
-        g_free(head_key);
-        run->n_references++;
-        run->n_writes++;
-        jobs_kv_send(run->jobs, kv,
-                     (struct jobs_kv_callback){on_checkpoint, run});
-    }
-    g_ptr_array_free(pieces, TRUE);
-}
-
-static bool
-is_checkpoint_due(struct jobs_run *run, int64_t now_ms)
-{
-    int64_t n_events;
-
-    if (run->is_checkpoint_requested) {
-        run->is_checkpoint_requested = false;
-        return true;
-    }
-    if (now_ms < run->next_checkpoint_ms) {
-        return false;
-    }
-    run->next_checkpoint_ms = now_ms + CHECKPOINT_MS;
-    n_events = count_events(run);
-    if (n_events < run->checkpoint_events + MIN_CHECKPOINT_EVENTS) {
-        run->checkpoint_events = MIN(run->checkpoint_events, n_events);
-        return false;
-    }
-    run->checkpoint_events = n_events;
-    return true;
-}
-
 /* Gives up waiting items once the retention time of the job is over. */
 static void
 give_up_expired(struct jobs_run *run)
@@ -748,7 +547,7 @@
     else if (is_commit_due(run, now_ms) || is_released) {
         begin_commit(run, is_released);
     }
-    else if (is_checkpoint_due(run, now_ms)) {
-        write_checkpoint(run);
+    else {
+        jobs_checkpoint_tick(run, now_ms);
     }
 }
