Check the API keys of a site's operators at the front

Cause: a site whose configuration holds operators expects each request to carry an API key, and each server to get the operator's name instead of the key. The front forwarded the caller's headers as they were and read no key.

Change: the adapter reads operators, their keys, priorities and rate limits; worlds of a site share a keyring of keyed hashes. The front identifies the caller on each request, answers 401 (503 while a newer configuration is on its way), takes the request from the operator's rate limit, drops the key and sets the operator's name for the server. Calls about jobs are identified, too. Settings take the tolerance of rate limits.

--- a/packages/control/calls.c
+++ b/packages/control/calls.c
@@ -166,6 +166,13 @@
     return control_rates_allow(control->rates, operator_name, count);
 }
 
+/* See the header. */
+int64_t
+control_rate_retry_ms(struct control *control, const char *operator_name)
+{
+    return control_rates_retry_ms(control->rates, operator_name);
+}
+
 static void
 serve_status(struct base_call *call, void *state)
 {
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -118,6 +118,10 @@
  * false if that exceeds the limit.  Returns at once; any thread. */
 bool control_rate_allow(struct control *control, const char *operator_name,
                         int count);
+/* Returns when a refused operator may expect to be allowed a request at this
+ * node, in ms from now; any thread. */
+int64_t control_rate_retry_ms(struct control *control,
+                              const char *operator_name);
 
 /* What all nodes know of the parts of prompts that crash servers; any thread.
  * See quarantine.h. */
@@ -157,6 +161,15 @@
     void *context;
 };
 
+/* By how much the requests of an operator that reach servers in any window may
+ * exceed the rate limit: the rate over the window plus the burst, multiplied
+ * by 1 + overage, plus slack requests.  All zero: by nothing. */
+struct control_rate_tolerance {
+    double window_s;
+    double overage;
+    double slack;
+};
+
 struct control_desc {
     const char *node;
     const char *zone;
@@ -191,6 +204,7 @@
     /* Site only: all nodes start for the first time, so that no peer knows the
      * configuration. */
     bool is_first_start;
+    struct control_rate_tolerance rate_tolerance;
     bool may_retire; /* site only: the operator may request that the node be
                         emptied */
     uint64_t seed;   /* for random choices; 0: a random seed */
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -533,6 +533,8 @@
 void control_rates_tick(struct control *control);
 bool control_rates_allow(struct control_rates *rates,
                          const char *operator_name, int count);
+int64_t control_rates_retry_ms(struct control_rates *rates,
+                               const char *operator_name);
 void control_rates_answer(struct control *control, const char *node,
                           const Control__RateAsk *request,
                           const struct wire_return *back);
--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -5,6 +5,7 @@
 enum {
     TOKENS_PER_REQUEST = 1000, /* allows a refill by fractions of a request */
     TICK_MS = 50,              /* interval between refills */
+    MS_PER_S = 1000,
     MIN_REQUEST_MS =
         1000, /* shortest interval of an operator's rate requests */
     SHORT_LEASE_MS = 2000, /* term when demand exceeds half the limit */
@@ -117,6 +118,24 @@
     return is_allowed;
 }
 
+/* Returns when the operator's next request at this node is expected to be
+ * within the limit, in ms from now.  Any thread. */
+int64_t
+control_rates_retry_ms(struct control_rates *rates, const char *operator_name)
+{
+    const struct rate *rate;
+    double share_per_s = 0;
+
+    pthread_rwlock_rdlock(&rates->lock);
+    rate = g_hash_table_lookup(rates->by_name, operator_name);
+    if (rate != NULL) {
+        share_per_s = rate->share_per_s;
+    }
+    pthread_rwlock_unlock(&rates->lock);
+    return share_per_s > 0 ? (int64_t)(MS_PER_S / share_per_s)
+                           : SHORT_LEASE_MS;
+}
+
 static int
 count_accepting_nodes(const struct members_view *view)
 {
--- a/packages/front/auth.c
+++ b/packages/front/auth.c
@@ -2,7 +2,12 @@
 
 #include <string.h>
 
-enum { HEADER_SIZE = 512 };
+enum {
+    HEADER_SIZE = 512,
+    /* retry-after of a request whose key a newer configuration may hold: such
+     * a one arrives within a second or two. */
+    NEWER_CONFIG_RETRY_MS = 500,
+};
 
 /* Copies the token of the header "authorization: Bearer TOKEN"; false if the
  * header is missing, has another scheme or is empty. */
@@ -58,6 +63,97 @@
     return true;
 }
 
+/* Copies the API key from the request's header.  Returns false if the request
+ * has none, or several. */
+static bool
+read_site_key(const struct front_request *request, char *out, size_t size)
+{
+    const char *name = request->front->protocol->api_key;
+    int n_found = 0;
+
+    for (guint i = 0; name != NULL && i + 1 < request->request_headers->len;
+         i += 2) {
+        if (g_ascii_strcasecmp(request->request_headers->pdata[i], name) ==
+            0) {
+            g_strlcpy(out, request->request_headers->pdata[i + 1], size);
+            n_found++;
+        }
+    }
+    return n_found == 1 && out[0] != '\0';
+}
+
+/* Answers a request whose key is missing or unknown.  While the node has not
+ * applied the newest configuration, that one may hold the key. */
+static void
+refuse_key(struct front_request *request, bool has_key)
+{
+    static const struct front_fault NOT_KNOWN_YET = {
+        503, BASE_NOT_RUN, "server_error", "not_ready", 0};
+
+    if (has_key && !control_is_ready(request->front->control)) {
+        front_add_retry_after(request, NEWER_CONFIG_RETRY_MS);
+        front_fail(request, &NOT_KNOWN_YET,
+                   "the API key is unknown, and a newer configuration is on "
+                   "its way to this node");
+        return;
+    }
+    base_log(BASE_LOG_INFO, "front.key_refused",
+             "id=%s has_key=%d revision=%" G_GINT64_FORMAT, request->id,
+             has_key, request->world->revision);
+    front_fail(request, &FRONT_NO_KEY,
+               has_key ? "unknown API key" : "an API key is required");
+}
+
+/* Identifies the calling operator of a site by its API key.  Open routes need
+ * no key.  On false the request has been answered. */
+bool
+front_identify(struct front_request *request, bool is_open)
+{
+    char key[HEADER_SIZE] = "";
+    bool has_key;
+    unsigned scopes = 0;
+
+    if (!request->world->has_operators) {
+        return true;
+    }
+    has_key = read_site_key(request, key, sizeof(key));
+    if (has_key) {
+        request->operator_index =
+            world_find_operator_by_key(request->world, key, &scopes);
+    }
+    if (request->operator_index != WORLD_NONE) {
+        g_strlcpy(request->operator_name,
+                  request->world->operators[request->operator_index].name,
+                  sizeof(request->operator_name));
+        return true;
+    }
+    if (!is_open) {
+        refuse_key(request, has_key);
+    }
+    return is_open;
+}
+
+/* Takes a request from the rate limit of its operator, which all nodes keep
+ * together.  On false the request has been answered. */
+bool
+front_take_rate(struct front_request *request)
+{
+    struct control *control = request->front->control;
+    static const struct front_fault OVER_RATE = {
+        429, BASE_NOT_RUN, "rate_limit_error", "rate_limit_exceeded", 0};
+
+    if (request->operator_name[0] == '\0' ||
+        control_rate_allow(control, request->operator_name, 1)) {
+        return true;
+    }
+    front_add_retry_after(
+        request, control_rate_retry_ms(control, request->operator_name));
+    front_fail(request, &OVER_RATE,
+               "operator %s exceeded its requests per second",
+               request->operator_name);
+    return false;
+}
+
 /* Returns the number of nodes that accept work, at least 1: the front divides
  * an operator's limit by it. */
 static int
--- a/packages/front/errors.c
+++ b/packages/front/errors.c
@@ -2,6 +2,8 @@
 
 #include <stdarg.h>
 
+enum { MS_PER_S = 1000 };
+
 const struct front_fault FRONT_BAD_REQUEST = {
     400, BASE_NOT_RUN, "invalid_request_error", "bad_request", 0};
 const struct front_fault FRONT_NO_KEY = {
@@ -42,6 +44,18 @@
     return dumped;
 }
 
+/* Adds the header retry-after, in seconds with a fraction. */
+void
+front_add_retry_after(struct front_request *request, int64_t retry_after_ms)
+{
+    char seconds[24];
+
+    g_snprintf(seconds, sizeof(seconds), "%d.%03d",
+               (int)(retry_after_ms / MS_PER_S),
+               (int)(retry_after_ms % MS_PER_S));
+    front_add_header(request, "retry-after", seconds);
+}
+
 /* Responds with an error: a formatted message in the body, and in the header
  * x-cardamompick-ran whether a server may have run the request. */
 void
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -257,6 +257,8 @@
 
 void front_fail(struct front_request *request, const struct front_fault *fault,
                 const char *format, ...) G_GNUC_PRINTF(3, 4);
+void front_add_retry_after(struct front_request *request,
+                           int64_t retry_after_ms);
 char *front_fault_json(const struct front_fault *fault, const char *text);
 
 extern const struct front_fault FRONT_BAD_REQUEST;
@@ -277,6 +279,8 @@
 const struct front_route *
 front_route_find(const char *method, const char *path, bool *is_known_path);
 bool front_authorize(struct front_request *request);
+bool front_identify(struct front_request *request, bool is_open);
+bool front_take_rate(struct front_request *request);
 bool front_admit(struct front_request *request);
 void front_admit_end(struct front_request *request);
 bool front_may_use(struct front_request *request, int deployment);
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -319,11 +319,8 @@
 {
     static const struct front_fault BUSY = {503, BASE_NOT_RUN, "server_error",
                                             "overloaded", 0};
-    char seconds[16];
 
-    g_snprintf(seconds, sizeof(seconds), "%d.%03d",
-               (int)(retry_after_ms / 1000), (int)(retry_after_ms % 1000));
-    front_add_header(request, "retry-after", seconds);
+    front_add_retry_after(request, retry_after_ms);
     front_fail(request, &BUSY, "%s", text);
 }
 
@@ -364,6 +361,17 @@
 
 /* ---- requests ---- */
 
+/* Returns whether a header says who the caller is.  The API key is not
+ * forwarded, and this node sets the operator's name. */
+static bool
+is_identity_header(const struct front_protocol *protocol, const char *name)
+{
+    return (protocol->api_key != NULL &&
+            g_ascii_strcasecmp(protocol->api_key, name) == 0) ||
+           (protocol->operator_name != NULL &&
+            g_ascii_strcasecmp(protocol->operator_name, name) == 0);
+}
+
 /* Returns whether a header of the caller is not forwarded to the server. */
 static bool
 is_dropped_header(const struct front_protocol *protocol, const char *name)
@@ -397,20 +405,32 @@
     return false;
 }
 
+static void
+append_header(GPtrArray *headers, const char *name, const char *value)
+{
+    g_ptr_array_add(headers, g_strdup(name));
+    g_ptr_array_add(headers, g_strdup(value));
+}
+
+/* Copies the caller's headers that are forwarded to the server, and adds the
+ * operator's name. */
 static GPtrArray *
 copy_headers(const struct front_request *request)
 {
+    const struct front_protocol *protocol = request->front->protocol;
+    bool has_operators = request->world->has_operators;
     GPtrArray *copy = g_ptr_array_new_with_free_func(g_free);
 
     for (guint i = 0; i + 1 < request->request_headers->len; i += 2) {
-        if (!is_dropped_header(request->front->protocol,
-                               request->request_headers->pdata[i])) {
-            g_ptr_array_add(copy,
-                            g_strdup(request->request_headers->pdata[i]));
-            g_ptr_array_add(copy,
-                            g_strdup(request->request_headers->pdata[i + 1]));
+        const char *name = request->request_headers->pdata[i];
+        if (!is_dropped_header(protocol, name) &&
+            !(has_operators && is_identity_header(protocol, name))) {
+            append_header(copy, name, request->request_headers->pdata[i + 1]);
         }
     }
+    if (request->operator_name[0] != '\0' && protocol->operator_name != NULL) {
+        append_header(copy, protocol->operator_name, request->operator_name);
+    }
     return copy;
 }
 
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -58,11 +58,7 @@
 static void
 respond_refused(struct front_request *request, const char *text)
 {
-    char seconds[16];
-
-    g_snprintf(seconds, sizeof(seconds), "%d.%03d", RETRY_AFTER_MS / 1000,
-               RETRY_AFTER_MS % 1000);
-    front_add_header(request, "retry-after", seconds);
+    front_add_retry_after(request, RETRY_AFTER_MS);
     front_fail(request,
                &(struct front_fault){503, BASE_NOT_RUN, "server_error",
                                      "not_served_now", 0},
@@ -123,6 +119,8 @@
         jobs_request_free(call);
         return;
     }
+    g_strlcpy(call->operator_name, request->operator_name,
+              sizeof(call->operator_name));
     call->context = front_request_ref(request);
     front->n_calls++;
     jobs_request_send(front->jobs, call, &front->task, on_reply);
--- a/packages/front/protocol.h
+++ b/packages/front/protocol.h
@@ -44,6 +44,9 @@
     const char *expected_server; /* any other server refuses the request */
     const char *last_event_id;   /* a stream resumes after this event */
     const char *wait_ms;         /* maximum delay of a read of job results */
+    const char *api_key;         /* the caller's API key; NULL: none */
+    /* To servers: the name of the caller's operator; NULL: not sent. */
+    const char *operator_name;
     /* response headers */
     const char *refused_not_run; /* the server did not run the request */
     const char *request_limit; /* requests a second that the server takes from
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -46,6 +46,39 @@
                request->started_us / 1000 + JOB_CALL_MAX_MS);
 }
 
+/* Returns whether jobs of the request's host may be read without a key. */
+static bool
+has_open_jobs(const struct front_request *request)
+{
+    const char *host = front_request_header(request, "host");
+
+    for (int i = 0; host != NULL && i < request->world->n_ingress; i++) {
+        const struct world_ingress *route = &request->world->ingress[i];
+        if (route->kind == WORLD_INGRESS_BATCH && route->is_open &&
+            g_ascii_strcasecmp(route->host, host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the route of a call about a job; on an error the request has been
+ * answered and the result is ANSWERED. */
+static const struct front_route *
+find_job_call(struct front_request *request)
+{
+    if (request->world == NULL) {
+        front_fail(request, &FRONT_NOT_READY,
+                   "this node has no configuration yet");
+        return &ANSWERED;
+    }
+    if (!front_identify(request, has_open_jobs(request)) ||
+        refuse_if_stopping(request, job_call_end_ms(request))) {
+        return &ANSWERED;
+    }
+    return &JOB_CALL;
+}
+
 /* Returns the route for the request's host and path; on an error the request
  * has been answered and the result is ANSWERED. */
 static const struct front_route *
@@ -68,10 +101,16 @@
                    "no route for this host and path");
         return &ANSWERED;
     }
+    if (!front_identify(request, route->is_open)) {
+        return &ANSWERED;
+    }
     if (route->kind != WORLD_INGRESS_BATCH) {
         int64_t until_ms =
             MIN(request->deadline_ms, started_ms + route->timeout_ms);
-        return refuse_if_stopping(request, until_ms) ? &ANSWERED : &INGRESS;
+        return refuse_if_stopping(request, until_ms) ||
+                       !front_take_rate(request)
+                   ? &ANSWERED
+                   : &INGRESS;
     }
     if (strcmp(request->method, "POST") != 0) {
         front_fail(request, &FRONT_WRONG_METHOD,
@@ -96,9 +135,7 @@
     case FRONT_CALL_JOB_RESULTS:
     case FRONT_CALL_JOB_INPUT:
     case FRONT_CALL_JOB_END:
-        return refuse_if_stopping(request, job_call_end_ms(request))
-                   ? &ANSWERED
-                   : &JOB_CALL;
+        return find_job_call(request);
     case FRONT_CALL_NONE:
         break;
     }
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -172,9 +172,16 @@
 control_rate_allow(struct control *control, const char *operator_name,
                    int count)
 {
+    fakes.rate_requests.push_back(operator_name);
     return fakes.is_rate_allowed;
 }
 
+int64_t
+control_rate_retry_ms(struct control *control, const char *operator_name)
+{
+    return fakes.rate_retry_ms;
+}
+
 bool
 control_is_ready(struct control *control)
 {
@@ -369,6 +376,7 @@
     fakes.delays_admissions = false;
     fakes.delayed_admissions.clear();
     fakes.is_rate_allowed = true;
+    fakes.rate_requests.clear();
     fakes.is_ready = true;
     fakes.batch_log.clear();
     fakes.uploaded.clear();
--- a/packages/front/test_support.h
+++ b/packages/front/test_support.h
@@ -87,6 +87,8 @@
     bool delays_admissions = false;
     std::vector<struct control_admission *> delayed_admissions;
     bool is_rate_allowed = true;
+    int64_t rate_retry_ms = 250;
+    std::vector<std::string> rate_requests; /* operators' names */
     bool is_ready = true;
     /* batch and config */
     std::vector<std::string> batch_log;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -109,7 +109,9 @@
     enum jobs_op op;
     char id[JOBS_ID_SIZE];
     char item[JOBS_ID_SIZE]; /* JOBS_INPUT */
-    struct jobs_job *job;    /* JOBS_SUBMIT; owned by the request */
+    /* The calling operator; "" if the site has none, or the route is open. */
+    char operator_name[WORLD_OPERATOR_NAME_SIZE];
+    struct jobs_job *job; /* JOBS_SUBMIT; owned by the request */
     /* JOBS_RESULTS: first position to read; JOBS_END: writes of
      * the head that have failed with a conflict */
     int after;
@@ -164,6 +166,8 @@
      * none say so */
     const char *request_limit;
     const char *leaving; /* value 1: the server leaves; NULL: none say so */
+    const char *operator_name; /* names the job's operator; NULL: not sent */
+    const char *api_key; /* removed from the headers of items; NULL: none */
 };
 
 struct jobs_desc {
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -166,6 +166,7 @@
         .n_watchers = settings->site.n_watchers,
         .may_retire = settings->site.may_retire,
         .is_first_start = settings->site.is_first_start,
+        .rate_tolerance = settings->site.rate_tolerance,
     };
 
     node->control = control_start(&desc, err);
@@ -228,6 +229,8 @@
                   .refused_not_run = protocol->refused_not_run,
                   .request_limit = protocol->request_limit,
                   .leaving = protocol->leaving,
+                  .operator_name = protocol->operator_name,
+                  .api_key = protocol->api_key,
                   .misdirected_status = protocol->misdirected_status},
         .decode = protocol->decode_job,
         .read_parts = protocol->read_parts,
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -49,6 +49,7 @@
     int n_site_zones;
     int n_watchers; /* nodes per zone that watch the key-value service; 0: see
                        control.h */
+    struct control_rate_tolerance rate_tolerance;
 };
 
 struct node_settings {
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -14,6 +14,8 @@
     MAX_CORES = 4096,
     MIN_VALUE_BYTES = 4096, /* a page; a smaller store is a mistake */
     MAX_VALUE_BYTES = 64 << 20,
+    MAX_WINDOW_S = 3600,
+    MAX_SLACK = 1000000,
     MAX_FOUND_CHARS = 60, /* shown of a refused name or value in an error */
 };
 
@@ -27,8 +29,10 @@
     "announce", "source",      "site",         "cpu",      NULL,
 };
 static const char *const SITE_MEMBERS[] = {
-    "callers",  "probes",     "metrics",     "jobs", "zones",
-    "watchers", "may_retire", "first_start", NULL};
+    "callers",  "probes",     "metrics",     "jobs",           "zones",
+    "watchers", "may_retire", "first_start", "rate_tolerance", NULL};
+static const char *const TOLERANCE_MEMBERS[] = {"window_s", "overage", "slack",
+                                                NULL};
 static const char *const HTTP_MEMBERS[] = {"address", "port", "certificate",
                                            "key", NULL};
 static const char *const CPU_MEMBERS[] = {"share", "cores", NULL};
@@ -357,6 +361,46 @@
     return true;
 }
 
+/* Reads a number from 0 to `max`; a missing one is 0. */
+static bool
+read_real(const json_t *object, const char *path, const char *name, double max,
+          double *out, struct base_error *err)
+{
+    const json_t *value = json_object_get(object, name);
+    char allowed[64];
+
+    if (value == NULL) {
+        return true;
+    }
+    *out = json_number_value(value);
+    if (json_is_number(value) && *out >= 0 && *out <= max) {
+        return true;
+    }
+    g_snprintf(allowed, sizeof(allowed), "a number from 0 to %g", max);
+    return refuse(value, path, name, allowed, err);
+}
+
+static bool
+read_rate_tolerance(struct node_site_settings *site, const json_t *json,
+                    struct base_error *err)
+{
+    struct control_rate_tolerance *out = &site->rate_tolerance;
+    const json_t *value = json_object_get(json, "rate_tolerance");
+    const char *path = "$.site.rate_tolerance";
+
+    if (value == NULL || json_is_null(value)) {
+        return true;
+    }
+    if (!json_is_object(value)) {
+        return refuse(value, path, NULL, "an object", err);
+    }
+    return check_members(value, path, TOLERANCE_MEMBERS, err) &&
+           read_real(value, path, "window_s", MAX_WINDOW_S, &out->window_s,
+                     err) &&
+           read_real(value, path, "overage", 1, &out->overage, err) &&
+           read_real(value, path, "slack", MAX_SLACK, &out->slack, err);
+}
+
 static bool
 read_site(struct node_settings *settings, const json_t *root,
           struct base_error *err)
@@ -375,6 +419,7 @@
     if (!read_flag(json, "may_retire", &site->may_retire, err) ||
         !read_flag(json, "first_start", &site->is_first_start, err) ||
         !check_members(json, "$.site", SITE_MEMBERS, err) ||
+        !read_rate_tolerance(site, json, err) ||
         !read_address(json, "$.site", "callers", MEMBER_OPTIONAL,
                       &site->callers, err) ||
         !read_address(json, "$.site", "probes", MEMBER_OPTIONAL, &site->probes,
--- a/packages/world/parse_deployments.c
+++ b/packages/world/parse_deployments.c
@@ -4,7 +4,11 @@
 
 #define MAX_RATE 1e9
 #define MAX_TARGET_MS 600000.0
-enum { MAX_COUNT = 1000000, SHA256_DIGITS = 64 };
+enum {
+    MAX_COUNT = 1000000,
+    SHA256_DIGITS = 64,
+    RATE_BURST_S = 2, /* documents set no burst: the requests of this time */
+};
 
 static const struct {
     const char *name;
@@ -148,6 +152,7 @@
     read_keys(reader, world, new_operator, object);
     new_operator->weight = world_reader_number(reader, object, &WEIGHT);
     new_operator->requests_per_s = world_reader_number(reader, object, &RATE);
+    new_operator->burst = new_operator->requests_per_s * RATE_BURST_S;
     new_operator->open_requests =
         (int)world_reader_integer(reader, object, &OPEN);
     new_operator->batch_items_open =
--- a/packages/world/site.c
+++ b/packages/world/site.c
@@ -20,6 +20,10 @@
 /* Batch may use the whole window: its items are preempted within a few ms,
  * while the latency targets are some 100 ms. */
 static const double BATCH_SHARE = 1.0;
+/* Under contention, an operator of the highest priority gets this multiple of
+ * the share that its rate limit gives it.  Strict precedence would starve the
+ * others in a long overload. */
+static const double HIGHEST_PRIORITY_FACTOR = 2.0;
 
 /* Frees a site; NULL is allowed. */
 void
@@ -41,6 +45,11 @@
         g_free(route->host);
         g_free(route->prefix);
     }
+    for (int i = 0; i < site->n_operators; i++) {
+        g_free(site->operators[i].name);
+    }
+    world_keyring_unref(site->keyring);
+    g_free(site->operators);
     g_free(site->services);
     g_free(site->routes);
     g_free(site);
@@ -165,6 +174,31 @@
     }
 }
 
+/* An operator's share under contention follows its rate limit, so that a large
+ * operator's requests wait no longer than a small one's. */
+static void
+add_operators(struct world *world, const struct world_site *site)
+{
+    world->has_operators = site->has_operators;
+    world->operators =
+        g_new0(struct world_operator, MAX(site->n_operators, 1));
+    for (int i = 0; i < site->n_operators; i++) {
+        const struct world_site_operator *from = &site->operators[i];
+        struct world_operator *to = &world->operators[world->n_operators++];
+        to->name = g_strdup(from->name);
+        to->priority = from->priority;
+        to->requests_per_s = from->requests_per_s;
+        to->burst = from->burst;
+        to->weight = from->requests_per_s > 0 ? from->requests_per_s : 1;
+        if (from->priority == 0) {
+            to->weight *= HIGHEST_PRIORITY_FACTOR;
+        }
+    }
+    if (site->keyring != NULL) {
+        world->keyring = world_keyring_ref(site->keyring);
+    }
+}
+
 static void
 add_route(struct world *world, const struct world_site_route *from)
 {
@@ -189,6 +223,7 @@
     route->gap_target_ms = from->gap_target_ms;
     route->max_attempts = MAX(from->max_attempts, 1);
     route->priority = from->priority;
+    route->is_open = from->is_open;
     route->is_resumable = from->is_resumable;
     route->completion_ms = from->completion_ms;
     route->retention_ms = from->retention_ms;
@@ -253,6 +288,7 @@
     for (int i = 0; i < n_site_zones; i++) {
         add_zone(world, site_zones[i].zone, site_zones[i].region);
     }
+    add_operators(world, site);
     add_deployments(world, site);
     world->ingress = g_new0(struct world_ingress, MAX(site->n_routes, 1));
     for (int i = 0; i < site->n_routes; i++) {
--- a/packages/world/site.h
+++ b/packages/world/site.h
@@ -46,14 +46,27 @@
     int64_t gap_target_ms;
     int max_attempts;
     int priority;
+    bool is_open;
     bool is_resumable;
     int64_t completion_ms;
     int64_t retention_ms;
     int64_t max_waiting_tokens;
 };
 
+/* An operator; see struct world_operator for its members. */
+struct world_site_operator {
+    char *name;
+    int priority;
+    double requests_per_s;
+    double burst;
+};
+
 struct world_site {
     int64_t number; /* increases with each configuration */
+    bool has_operators;
+    struct world_site_operator *operators;
+    int n_operators;
+    struct world_keyring *keyring; /* NULL: no operators */
     struct world_site_service *services;
     int n_services;
     struct world_site_route *routes;
--- a/packages/world/world.c
+++ b/packages/world/world.c
@@ -114,6 +114,7 @@
     if (world->keys != NULL) {
         g_hash_table_destroy(world->keys);
     }
+    world_keyring_unref(world->keyring);
     g_free(world->environment);
     g_free(world->text);
     g_free(world);
@@ -205,6 +206,7 @@
 void
 world_index_keys(struct world *world)
 {
+    world->has_operators = true;
     world->keys = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     for (int i = 0; i < world->n_operators; i++) {
         for (int k = 0; k < world->operators[i].n_keys; k++) {
@@ -217,8 +219,18 @@
     }
 }
 
+static int
+find_in_keyring(const struct world *world, const char *api_key,
+                unsigned *scopes)
+{
+    int found = world_keyring_find(world->keyring, api_key);
+
+    *scopes = found == WORLD_NONE ? 0 : WORLD_SCOPE_ONLINE | WORLD_SCOPE_BATCH;
+    return found;
+}
+
 /* Returns the operator with this API key and sets *scopes to the key's scopes,
- * or WORLD_NONE and 0.  Only the key's SHA-256 is compared, so that the time
+ * or WORLD_NONE and 0.  Only hashes of keys are compared, so that the time
  * taken reveals nothing about keys that nearly match. */
 int
 world_find_operator_by_key(const struct world *world, const char *api_key,
@@ -227,6 +239,9 @@
     unsigned char hash[crypto_hash_sha256_BYTES];
     char digits[2 * crypto_hash_sha256_BYTES + 1];
 
+    if (world->keyring != NULL) {
+        return find_in_keyring(world, api_key, scopes);
+    }
     *scopes = 0;
     crypto_hash_sha256(hash, (const unsigned char *)api_key, strlen(api_key));
     sodium_bin2hex(digits, sizeof(digits), hash, sizeof(hash));
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -17,12 +17,17 @@
 #define CARDAMOM_WORLD_H
 
 #include "base/base.h"
+#include "world/keyring.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-enum { WORLD_NONE = -1, WORLD_FORMAT = 1 };
+enum {
+    WORLD_NONE = -1,
+    WORLD_FORMAT = 1,
+    WORLD_OPERATOR_NAME_SIZE = 64, /* with the zero byte */
+};
 
 struct world_region {
     char *name;
@@ -60,7 +65,9 @@
     struct world_key *keys;
     int n_keys;
     double weight;            /* relative share under contention; default 1 */
+    int priority;             /* 0 is the highest */
     double requests_per_s;    /* rate limit; 0: none */
+    double burst;             /* requests that may exceed the rate at once */
     int open_requests;        /* limit of concurrent requests; 0: none */
     int64_t batch_items_open; /* limit of unfinished batch items; 0: none */
 };
@@ -131,6 +138,7 @@
      * item is given up. */
     int max_attempts;
     int priority;      /* 0 is the highest */
+    bool is_open;      /* no API key is needed */
     bool is_resumable; /* another server may continue a stream */
     /* WORLD_INGRESS_BATCH only */
     int64_t completion_ms; /* from submission to the due time of all results */
@@ -200,6 +208,9 @@
     int n_links;
     struct world_operator *operators;
     int n_operators;
+    /* Requests need an API key, except on open routes.  Always true for
+     * documents. */
+    bool has_operators;
     struct world_deployment *deployments;
     int n_deployments;
     struct world_server *servers;
@@ -210,7 +221,8 @@
     int n_ingress;
     struct world_limits limits;
     struct world_batch batch;
-    GHashTable *keys; /* index of world_find_operator_by_key */
+    GHashTable *keys; /* index of world_find_operator_by_key; documents */
+    struct world_keyring *keyring; /* the same; site with operators */
 };
 
 struct world_problem {
