Let jobs belong to the operator that submits them

Cause: jobs of a site had no operator: any caller could read and end them, their items reached servers with whatever headers the caller had put into them, and all operators shared one limit of waiting tokens.

Change: the head of a job holds its operator. Calls of other operators find no such job, at its runner, at other nodes, in the archive and in the store. Items are sent with the operator's name and without an API key. The limit of waiting tokens counts the open jobs of one operator on the route. Heads without an operator are read and counted as before.

--- a/packages/jobs/archive.c
+++ b/packages/jobs/archive.c
@@ -22,6 +22,7 @@
     g_hash_table_remove(archive->jobs, job->id);
     archive->size -= job->size;
     g_ptr_array_free(job->results, TRUE);
+    g_free(job->operator_name);
     g_free(job->id);
     g_free(job);
 }
@@ -39,8 +40,8 @@
 /* Adds a job that will not change, unless it is known or too large.  Takes
  * ownership of the results. */
 void
-jobs_archive_add(struct jobs_archive *archive, const char *id, int n_items,
-                 GPtrArray *results)
+jobs_archive_add(struct jobs_archive *archive, const char *id,
+                 const char *operator_name, int n_items, GPtrArray *results)
 {
     struct jobs_archived *job;
     size_t size = sizeof(*job);
@@ -58,6 +59,7 @@
     }
     job = g_new0(struct jobs_archived, 1);
     job->id = g_strdup(id);
+    job->operator_name = g_strdup(operator_name);
     job->n_items = n_items;
     job->results = results;
     job->size = size;
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -289,12 +289,15 @@
 static bool
 is_own_header(const struct jobs_header_names *names, const char *name)
 {
-    const char *const own[] = {"content-length",       "host",
-                               "content-type",         names->request_id,
-                               names->expected_server, names->last_event_id};
+    const char *const own[] = {
+        "content-length",       "host",
+        "content-type",         names->request_id,
+        names->expected_server, names->last_event_id,
+        names->operator_name,   names->api_key,
+    };
 
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
-        if (g_ascii_strcasecmp(own[i], name) == 0) {
+        if (own[i] != NULL && g_ascii_strcasecmp(own[i], name) == 0) {
             return true;
         }
     }
@@ -312,6 +315,7 @@
 make_headers(const struct jobs_work *work, const struct jobs_item *item)
 {
     const struct jobs_header_names *names = &work->run->jobs->names;
+    const char *operator_name = work->run->head.operator_name;
     GPtrArray *headers = g_ptr_array_new_with_free_func(g_free);
     char after[24];
 
@@ -323,6 +327,9 @@
     }
     add_header(headers, names->request_id, item->id);
     add_header(headers, names->expected_server, work->server_name);
+    if (names->operator_name != NULL && operator_name[0] != '\0') {
+        add_header(headers, names->operator_name, operator_name);
+    }
     if (work->n_earlier_events > 0) {
         g_snprintf(after, sizeof(after), "%" G_GINT64_FORMAT,
                    work->events.last_id);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -137,7 +137,9 @@
     struct base_error err;
     /* private to the jobs task */
     bool is_final; /* JOBS_RESULTS: the list that is read cannot change */
-    GList link;    /* entry in the queue of waiting reads */
+    /* Operator of the job whose records are read. */
+    char job_operator[WORLD_OPERATOR_NAME_SIZE];
+    GList link;            /* entry in the queue of waiting reads */
     int64_t wait_until_ms; /* time when the wait ends, on base_clock_ms */
 };
 
--- a/packages/jobs/jobs.pb-c.c
+++ b/packages/jobs/jobs.pb-c.c
@@ -206,7 +206,7 @@
   (ProtobufCMessageInit) jobs__check__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jobs__call__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jobs__call__field_descriptors[13] =
 {
   {
     "op",
@@ -352,6 +352,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "operator_name",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jobs__call__field_indices_by_name[] = {
   3,   /* field[3] = after */
@@ -360,6 +372,7 @@
   1,   /* field[1] = id */
   2,   /* field[2] = item */
   0,   /* field[0] = op */
+  12,   /* field[12] = operator_name */
   6,   /* field[6] = path */
   9,   /* field[9] = region */
   10,   /* field[10] = revision */
@@ -370,7 +383,7 @@
 static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jobs__call__descriptor =
 {
@@ -380,7 +393,7 @@
   "Jobs__Call",
   "jobs",
   sizeof(Jobs__Call),
-  12,
+  13,
   jobs__call__field_descriptors,
   jobs__call__field_indices_by_name,
   1,  jobs__call__number_ranges,
--- a/packages/jobs/jobs.pb-c.h
+++ b/packages/jobs/jobs.pb-c.h
@@ -79,10 +79,14 @@
    *the store has no refusal of it 
    */
   char *submission;
+  /*
+   * the caller; empty: none 
+   */
+  char *operator_name;
 };
 #define JOBS__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jobs__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Jobs__Reply
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -136,8 +136,8 @@
     }
     fill_answer(request, request->answer.total, results);
     if (request->is_final) {
-        jobs_archive_add(&jobs->archive, request->id, request->answer.total,
-                         results);
+        jobs_archive_add(&jobs->archive, request->id, request->job_operator,
+                         request->answer.total, results);
     }
     else {
         g_ptr_array_free(results, TRUE);
@@ -343,6 +343,13 @@
         jobs_reply(jobs, request, JOBS_REFUSED);
         return;
     }
+    if (!jobs_head_admits(&head, request->operator_name)) {
+        jobs_head_finish(&head);
+        jobs_reply(jobs, request, JOBS_NOT_FOUND);
+        return;
+    }
+    g_strlcpy(request->job_operator, head.operator_name,
+              sizeof(request->job_operator));
     run = g_hash_table_lookup(jobs->runs, request->id);
     if (run != NULL) {
         jobs_run_update_head(run, &head, entry->revision);
@@ -434,6 +441,25 @@
     }
 }
 
+/* Replies that there is no such job if this node knows that another operator
+ * submitted it.  Returns whether it did. */
+static bool
+refuse_other_operator(struct jobs *jobs, struct jobs_request *request)
+{
+    const struct jobs_run *run = g_hash_table_lookup(jobs->runs, request->id);
+    const struct jobs_archived *archived =
+        jobs_archive_find(&jobs->archive, request->id);
+    const char *owner = run != NULL        ? run->head.operator_name
+                        : archived != NULL ? archived->operator_name
+                                           : "";
+
+    if (owner[0] == '\0' || strcmp(owner, request->operator_name) == 0) {
+        return false;
+    }
+    jobs_reply(jobs, request, JOBS_NOT_FOUND);
+    return true;
+}
+
 /* Replies with results.  If this node runs the job, the reply waits up to
  * wait_ms for the first new result. */
 void
@@ -443,6 +469,9 @@
     const struct jobs_archived *archived =
         jobs_archive_find(&jobs->archive, request->id);
 
+    if (refuse_other_operator(jobs, request)) {
+        return;
+    }
     if (run == NULL && archived != NULL) {
         fill_answer(request, archived->n_items, archived->results);
         jobs_reply(jobs, request, JOBS_OK);
@@ -517,6 +546,9 @@
 {
     struct jobs_run *run = g_hash_table_lookup(jobs->runs, request->id);
 
+    if (refuse_other_operator(jobs, request)) {
+        return;
+    }
     if (run != NULL) {
         reply_input(jobs, request, run->job);
         return;
@@ -530,6 +562,9 @@
 {
     const struct jobs_run *run = find_own_run(jobs, request->id);
 
+    if (refuse_other_operator(jobs, request)) {
+        return;
+    }
     if (jobs_archive_find(&jobs->archive, request->id) != NULL) {
         jobs_reply(jobs, request, JOBS_OK);
         return;
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -80,6 +80,10 @@
         (json_int_t)head->epoch, "ended", head->is_ended, "input_pieces",
         head->n_input_pieces, "result_pieces", head->n_result_pieces, "tokens",
         tokens, "listed", listed);
+    if (head->operator_name[0] != '\0') {
+        json_object_set_new(root, "operator",
+                            json_string(head->operator_name));
+    }
     text = json_dumps(root, JSON_COMPACT);
     bytes = g_bytes_new(text, strlen(text));
     free(text);
@@ -112,6 +116,15 @@
     return n_items > 0;
 }
 
+/* Reads a string member into a buffer; "" if it is missing. */
+static void
+read_text(const json_t *root, const char *name, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(root, name));
+
+    g_strlcpy(out, text != NULL ? text : "", size);
+}
+
 static char *
 copy_text(const json_t *root, const char *name)
 {
@@ -129,7 +142,6 @@
     gsize size = 0;
     const char *text = g_bytes_get_data(bytes, &size);
     json_t *root = json_loadb(text, size, 0, NULL);
-    char *runner;
     bool is_ok;
 
     jobs_head_init(out, id);
@@ -137,9 +149,9 @@
     out->path = copy_text(root, "path");
     out->route = copy_text(root, "route");
     out->region = copy_text(root, "region");
-    runner = copy_text(root, "runner");
-    g_strlcpy(out->runner, runner, sizeof(out->runner));
-    g_free(runner);
+    read_text(root, "runner", out->runner, sizeof(out->runner));
+    read_text(root, "operator", out->operator_name,
+              sizeof(out->operator_name));
     out->submitted_ms =
         json_integer_value(json_object_get(root, "submitted_ms"));
     out->epoch = json_integer_value(json_object_get(root, "epoch"));
@@ -166,6 +178,14 @@
     return !head->is_ended && head->listed->len < head->tokens->len;
 }
 
+/* Returns whether an operator's calls may read and end the job. */
+bool
+jobs_head_admits(const struct jobs_head *head, const char *operator_name)
+{
+    return head->operator_name[0] == '\0' ||
+           strcmp(head->operator_name, operator_name) == 0;
+}
+
 /* Returns the sum of the tokens of items without a result; 0 for a job that
  * has ended. */
 int64_t
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -57,7 +57,9 @@
     char id[JOBS_ID_SIZE];
     char *host;
     char *path;
-    char *route;          /* name of the route */
+    char *route; /* name of the route */
+    /* Operator that submitted the job; "": any caller may read and end it. */
+    char operator_name[WORLD_OPERATOR_NAME_SIZE];
     int64_t submitted_ms; /* wall clock */
     char *region; /* of the node that the client submitted to; "": unknown */
     char runner[JOBS_RUNNER_SIZE]; /* NODE#LIFE; empty: none */
@@ -76,6 +78,7 @@
 bool jobs_head_decode(const char *id, GBytes *bytes, struct jobs_head *out,
                       struct base_error *err);
 bool jobs_head_is_open(const struct jobs_head *head);
+bool jobs_head_admits(const struct jobs_head *head, const char *operator_name);
 int64_t jobs_head_waiting_tokens(const struct jobs_head *head);
 
 char *jobs_head_key(const char *id);
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -115,6 +115,7 @@
     message->region = (char *)request->region;
     message->revision = request->list_revision;
     message->submission = (char *)request->submission;
+    message->operator_name = (char *)request->operator_name;
     if (request->op == JOBS_SUBMIT) {
         message->host = request->job->host;
         message->path = request->job->path;
@@ -251,6 +252,7 @@
 is_valid_call(const Jobs__Call *call)
 {
     return call != NULL && call->op <= JOBS_CHECK &&
+           strlen(call->operator_name) < WORLD_OPERATOR_NAME_SIZE &&
            (call->op != JOBS_SUBMIT ||
             (call->text.len > 0 &&
              strlen(call->submission) < JOBS_SUBMISSION_SIZE));
@@ -277,6 +279,8 @@
         jobs_request_new((enum jobs_op)call->op, call->id);
 
     g_strlcpy(request->item, call->item, sizeof(request->item));
+    g_strlcpy(request->operator_name, call->operator_name,
+              sizeof(request->operator_name));
     request->after = MAX(call->after, 0);
     request->wait_ms = CLAMP(call->wait_ms, 0, JOBS_MAX_WAIT_MS);
     request->is_from_peer = true;
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -46,6 +46,26 @@
     free_submission(submission);
 }
 
+/* Returns whether the stored head belongs to the operator that submits the
+ * job again. */
+static bool
+is_own_head(const struct submission *submission,
+            const struct platform_entry *entry)
+{
+    struct base_error err = {0};
+    struct jobs_head head;
+    bool is_own;
+
+    if (!jobs_head_decode(submission->head.id, entry->value, &head, &err)) {
+        base_log_error("jobs.head_unreadable", &err, "id=%s",
+                       submission->head.id);
+        return true;
+    }
+    is_own = jobs_head_admits(&head, submission->head.operator_name);
+    jobs_head_finish(&head);
+    return is_own;
+}
+
 /* The job was accepted before.  If this node is its runner and does not know
  * it, the reply to that write was lost. */
 static void
@@ -53,8 +73,14 @@
              const struct platform_kv *kv)
 {
     struct jobs_check check = {.revision = INT64_MAX};
+    const struct platform_entry *entry =
+        jobs_kv_find_head(kv, submission->head.id);
 
     g_strlcpy(check.id, submission->head.id, sizeof(check.id));
+    if (entry != NULL && !is_own_head(submission, entry)) {
+        finish_submission(jobs, submission, JOBS_NOT_FOUND, NULL);
+        return;
+    }
     finish_submission(jobs, submission, JOBS_OK, NULL);
     if (kv->status == PLATFORM_CONFLICT) {
         jobs_check_head(jobs, &check);
@@ -160,8 +186,17 @@
     jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_written, submission});
 }
 
+/* Returns whether the tokens of two jobs count towards one limit: that of
+ * their route and, if the site has operators, their operator. */
+static bool
+shares_limit(const struct jobs_head *a, const struct jobs_head *b)
+{
+    return strcmp(a->route, b->route) == 0 &&
+           strcmp(a->operator_name, b->operator_name) == 0;
+}
+
 /* Receives the heads of all open jobs.  Writes the new job if its tokens and
- * the tokens that already wait on its route stay within the route's limit. */
+ * those that already wait stay within the limit. */
 static void
 on_heads(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -186,7 +221,7 @@
             base_log_error("jobs.head_unreadable", &err, "id=%s", id);
             continue;
         }
-        if (strcmp(head.route, submission->head.route) == 0) {
+        if (shares_limit(&head, &submission->head)) {
             waiting += jobs_head_waiting_tokens(&head);
         }
         jobs_head_finish(&head);
@@ -226,6 +261,8 @@
     head->host = g_strdup(submission->job->host);
     head->path = g_strdup(submission->job->path);
     head->route = g_strdup(route->name);
+    g_strlcpy(head->operator_name, request->operator_name,
+              sizeof(head->operator_name));
     head->region = g_strdup(own_region(jobs));
     head->submitted_ms = base_wall_ms();
     head->epoch = 1;
@@ -248,12 +285,20 @@
     struct submission *submission =
         g_hash_table_lookup(jobs->submissions, request->id);
 
+    const struct jobs_run *run = g_hash_table_lookup(jobs->runs, request->id);
+
+    if ((submission != NULL &&
+         !jobs_head_admits(&submission->head, request->operator_name)) ||
+        (run != NULL &&
+         !jobs_head_admits(&run->head, request->operator_name))) {
+        jobs_reply(jobs, request, JOBS_NOT_FOUND);
+        return;
+    }
     if (submission != NULL) {
         g_ptr_array_add(submission->requests, request);
         return;
     }
-    if (g_hash_table_contains(jobs->runs, request->id) ||
-        g_hash_table_contains(jobs->pending_ids, request->id)) {
+    if (run != NULL || g_hash_table_contains(jobs->pending_ids, request->id)) {
         jobs_reply(jobs, request, JOBS_OK);
         return;
     }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -444,6 +444,10 @@
         item->path = g_strdup("/b/run");
         item->body = g_bytes_new(ids[i], strlen(ids[i]));
         item->tokens = 100;
+        /* Headers that callers may not set; nodes remove them. */
+        for (const char *text : {"x-operator", "forged", "X-Key", "secret"}) {
+            g_ptr_array_add(item->headers, g_strdup(text));
+        }
     }
     job->text = g_bytes_new(text, size);
     g_strfreev(ids);
@@ -599,6 +603,7 @@
     Site &site;
     std::string name;
     struct store_link link;
+    std::string operator_name; /* of the caller */
 
     Node(Site &site, const char *name) : site(site), name(name)
     {
@@ -610,8 +615,8 @@
         desc.zone = "z";
         desc.counters = &site.counters;
         desc.platform = (struct platform *)&link;
-        desc.names = {"x-id", "x-server", "last-id",  "x-refused",
-                      421,    "x-limit",  "x-leaving"};
+        desc.names = {"x-id",    "x-server",  "last-id",    "x-refused", 421,
+                      "x-limit", "x-leaving", "x-operator", "x-key"};
         desc.decode = decode;
         desc.lease_ms = 600;
         desc.life = (int64_t)member().life;
@@ -667,6 +672,8 @@
             jobs_request_free(answer);
         }
         answer = nullptr;
+        g_strlcpy(request->operator_name, operator_name.c_str(),
+                  sizeof(request->operator_name));
         jobs_request_send(jobs, request, &task, on_answer);
         while (answer == nullptr) {
             base_task_drain(&task);
@@ -725,6 +732,14 @@
     }
 };
 
+/* Returns an unused address for the RPCs of a node. */
+std::string
+free_address()
+{
+    struct test_server probe([](int, const std::string &) {});
+    return "127.0.0.1:" + std::to_string(probe.port);
+}
+
 /* Ends the leases of a node's runners, as the store does some time after the
  * last renewal. */
 void
@@ -1208,6 +1223,118 @@
     EXPECT_EQ(node.wait_for("k", 1).size(), 1u);
 }
 
+/* Guards against one limit for all operators, which lets one of them use up
+ * the room of the others.  The route allows 250 waiting tokens, and each item
+ * has 100. */
+TEST(Jobs, WaitingTokensAreLimitedForEachOperator)
+{
+    std::atomic<bool> is_blocked{true};
+    Site site(
+        [&is_blocked](int fd, const std::string &request) {
+            while (is_blocked) {
+                g_usleep(1000);
+            }
+            serve(fd, request);
+        },
+        250);
+    Node node(site, "n1");
+    struct {
+        const char *operator_name;
+        const char *id;
+        const char *items;
+        enum jobs_status want;
+    } cases[] = {
+        {"ann", "j", "a b", JOBS_OK},   {"ann", "k", "c", JOBS_FULL},
+        {"bob", "l", "a b", JOBS_OK},   {"bob", "m", "c", JOBS_FULL},
+        {"ann", "n", "c d", JOBS_FULL}, {"ann", "j", "a b", JOBS_OK},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.id);
+        node.operator_name = row.operator_name;
+        EXPECT_EQ(node.submit(row.id, row.items), row.want);
+    }
+    is_blocked = false;
+}
+
+/* Guards against items that reach a server with a name or key that the caller
+ * put into them, or without the operator's name. */
+TEST(Jobs, ItemsNameTheOperatorOfTheirJob)
+{
+    std::mutex lock;
+    std::set<std::string> seen;
+    Site site([&](int fd, const std::string &request) {
+        std::unique_lock<std::mutex> guard(lock);
+        seen.insert(test_header(request, "x-operator") + "/" +
+                    test_header(request, "x-key"));
+        guard.unlock();
+        serve(fd, request);
+    });
+    Node node(site, "n1");
+
+    node.operator_name = "ann";
+    ASSERT_EQ(node.submit("j", "a b"), JOBS_OK);
+    EXPECT_EQ(node.wait_for("j", 2).size(), 2u);
+    EXPECT_EQ(seen, (std::set<std::string>{"ann/"}));
+}
+
+/* Guards against an operator that reads or ends the job of another one, at its
+ * runner, at another node or from the store. */
+TEST(Jobs, AJobIsKnownOnlyToItsOperator)
+{
+    static const enum jobs_op OPS[] = {JOBS_RESULTS, JOBS_INPUT, JOBS_END};
+    struct {
+        const char *name;
+        const char *owner;
+        const char *caller;
+        enum jobs_status want;
+    } cases[] = {
+        {"its operator", "ann", "ann", JOBS_OK},
+        {"another operator", "ann", "bob", JOBS_NOT_FOUND},
+        {"nobody", "ann", "", JOBS_NOT_FOUND},
+        {"a job without operator", "", "bob", JOBS_OK},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::atomic<bool> is_blocked{true};
+        Site site([&is_blocked](int fd, const std::string &request) {
+            while (is_blocked && test_header(request, "x-id") == "b") {
+                g_usleep(1000);
+            }
+            serve(fd, request);
+        });
+        for (auto &member : site.members) {
+            member.address = free_address();
+        }
+        Node one(site, "n1");
+        Node two(site, "n2");
+        auto status_at = [&](Node &node, enum jobs_op op) {
+            struct jobs_request *request = jobs_request_new(op, "j");
+            g_strlcpy(request->item, "b", sizeof(request->item));
+            return node.call(request);
+        };
+        one.operator_name = two.operator_name = row.owner;
+        ASSERT_EQ(one.submit("j", "a b"), JOBS_OK);
+        one.operator_name = two.operator_name = row.caller;
+        if (row.want != JOBS_OK) {
+            EXPECT_EQ(one.submit("j", "a b"), JOBS_NOT_FOUND);
+        }
+        for (Node *node : {&one, &two}) {
+            for (enum jobs_op op : OPS) {
+                EXPECT_EQ(status_at(*node, op), row.want) << op;
+            }
+        }
+        one.operator_name = two.operator_name = row.owner;
+        EXPECT_EQ(status_at(one, JOBS_END), JOBS_OK);
+        EXPECT_EQ(status_at(two, JOBS_RESULTS), JOBS_OK);
+        one.operator_name = two.operator_name = row.caller;
+        EXPECT_EQ(status_at(one, JOBS_RESULTS), row.want) << "after its end";
+        EXPECT_EQ(status_at(two, JOBS_RESULTS), row.want) << "after its end";
+        is_blocked = false;
+    }
+}
+
 /* When a node drains, the next runner resumes after the events that the node
  * has received. */
 TEST(Jobs, DrainingReleasesJobsWithTheirPartialOutput)
@@ -1485,14 +1612,6 @@
     is_finished = true;
 }
 
-/* Returns an unused address for the RPCs of a node. */
-std::string
-free_address()
-{
-    struct test_server probe([](int, const std::string &) {});
-    return "127.0.0.1:" + std::to_string(probe.port);
-}
-
 /* Returns the runner of an open or complete job, as stored. */
 std::string
 runner_of(const std::string &id)
--- a/packages/jobs/test_record.cc
+++ b/packages/jobs/test_record.cc
@@ -240,7 +240,7 @@
             GPtrArray *results =
                 g_ptr_array_new_with_free_func(jobs_result_free);
             g_ptr_array_add(results, result_of(size));
-            jobs_archive_add(&archive, id, 1, results);
+            jobs_archive_add(&archive, id, "", 1, results);
         }
         for (const char *id : {"a", "b", "c"}) {
             const struct jobs_archived *job = jobs_archive_find(&archive, id);
