Test who a site's requests run for

Cause: the check of API keys had no tests of its own.

The case of a key with spaces after it failed: they are cut off now, as HTTP asks.

--- a/packages/front/auth.c
+++ b/packages/front/auth.c
@@ -76,6 +76,7 @@
         if (g_ascii_strcasecmp(request->request_headers->pdata[i], name) ==
             0) {
             g_strlcpy(out, request->request_headers->pdata[i + 1], size);
+            g_strstrip(out);
             n_found++;
         }
     }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -15,6 +15,9 @@
     if (strcmp(path, "/ready") == 0) {
         return FRONT_CALL_READY;
     }
+    if (strcmp(path, "/job/j") == 0) {
+        return FRONT_CALL_JOB_RESULTS;
+    }
     return FRONT_CALL_NONE;
 }
 
@@ -48,6 +51,8 @@
     protocol.expected_server = "x-server";
     protocol.last_event_id = "last-event-id";
     protocol.wait_ms = "x-wait-ms";
+    protocol.api_key = "x-key";
+    protocol.operator_name = "x-operator";
     protocol.refused_not_run = "x-refused";
     protocol.request_limit = "x-limit";
     protocol.leaving = "x-leaving";
@@ -61,7 +66,8 @@
 
 const struct front_protocol PROTOCOL = make_protocol();
 
-/* A front for a site with one route, "h.example/a/". */
+/* A front for a site with the route "h.example/a/" and, if it has operators,
+ * "h.example/open/". */
 struct Ingress : public Front {
     enum world_ingress_kind kind = WORLD_INGRESS_STREAM;
     bool is_resumable = false;
@@ -69,6 +75,8 @@
     int64_t timeout_ms = 5000;
     std::string address;
     std::string engine_prefix = "e"; /* of the names of servers */
+    /* Names of operators and their keys; with none, no key is needed. */
+    std::vector<std::pair<const char *, const char *>> operators;
 
     /* Starts the front; without engines it gets no configuration. */
     void
@@ -141,16 +149,33 @@
             servers[i].slots = 8;
             list.push_back(&servers[i]);
         }
+        std::vector<struct world_site_operator> site_operators;
+        site.has_operators = !operators.empty();
+        if (site.has_operators) {
+            routes[1] = routes[0];
+            routes[1].prefix = (char *)"/open/";
+            routes[1].is_open = true;
+            site.keyring = world_keyring_new();
+        }
+        for (const auto &[name, key] : operators) {
+            world_keyring_add(site.keyring, key, (int)site_operators.size());
+            site_operators.push_back({(char *)name, 1, 5, 5});
+        }
+        site.operators = site_operators.data();
+        site.n_operators = (int)site_operators.size();
         site.number = 3;
         site.services = &service;
         site.n_services = 1;
         site.routes = routes;
-        site.n_routes = 1;
+        site.n_routes = site.has_operators ? 2 : 1;
         site.header_bytes = 2000;
         site.body_bytes = 1000;
         site.header_ms = 3000;
         site.idle_ms = 15000;
-        return world_from_site(&site, zones, 3, list.data(), (int)list.size());
+        struct world *made =
+            world_from_site(&site, zones, 3, list.data(), (int)list.size());
+        world_keyring_unref(site.keyring);
+        return made;
     }
 };
 
@@ -316,6 +341,144 @@
     struct answer answer = ask(post("/a/x", ""));
     EXPECT_EQ(answer.status, 503);
     EXPECT_EQ(answer.headers["x-cardamompick-ran"], "no");
+    EXPECT_EQ(ask(post("/a/x", "", "x-key: k1\r\n")).status, 503);
+    EXPECT_EQ(ask("GET /job/j HTTP/1.1\r\nhost: h.example\r\n\r\n").status,
+              503)
+        << "it may need a key";
+}
+
+/* Guards against requests that run for the wrong operator, without a key, or
+ * with the key in what the server gets. */
+TEST_F(Ingress, IdentifiesTheOperatorByTheKeyOfEachRequest)
+{
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = request;
+        serve_stream(fd, request);
+    });
+    struct {
+        const char *name;
+        const char *path;
+        const char *headers;
+        bool is_ready; /* the node knows the newest configuration */
+        int status;
+        const char *operator_name; /* as the server gets it */
+    } cases[] = {
+        {"its key", "/a/x", "x-key: k1\r\n", true, 200, "ann"},
+        {"another operator's key", "/a/x", "X-KEY:   k2  \r\n", true, 200,
+         "bob"},
+        {"a forged name", "/a/x", "x-operator: bob\r\nx-key: k1\r\n", true,
+         200, "ann"},
+        {"no key", "/a/x", "", true, 401, ""},
+        {"no key but a name", "/a/x", "x-operator: ann\r\n", true, 401, ""},
+        {"an empty key", "/a/x", "x-key:\r\n", true, 401, ""},
+        {"an unknown key", "/a/x", "x-key: k3\r\n", true, 401, ""},
+        {"a part of a key", "/a/x", "x-key: k\r\n", true, 401, ""},
+        {"more than a key", "/a/x", "x-key: k1 k2\r\n", true, 401, ""},
+        {"another scheme", "/a/x", "authorization: Bearer k1\r\n", true, 401,
+         ""},
+        {"a key in the query", "/a/x?x-key=k1", "", true, 401, ""},
+        {"two keys", "/a/x", "x-key: k1\r\nx-key: k2\r\n", true, 401, ""},
+        {"an unknown key while a newer configuration arrives", "/a/x",
+         "x-key: k3\r\n", false, 503, ""},
+        {"no key while a newer configuration arrives", "/a/x", "", false, 401,
+         ""},
+        {"a known key while a newer configuration arrives", "/a/x",
+         "x-key: k1\r\n", false, 200, "ann"},
+        {"an open route", "/open/x", "", true, 200, ""},
+        {"a name on an open route", "/open/x", "x-operator: ann\r\n", true,
+         200, ""},
+        {"an unknown key on an open route", "/open/x", "x-key: k3\r\n", true,
+         200, ""},
+        {"a key on an open route", "/open/x", "x-key: k2\r\n", true, 200,
+         "bob"},
+        {"a job without a key", "/job/j", "", true, 401, ""},
+    };
+
+    operators = {{"ann", "k1"}, {"bob", "k2"}};
+    begin({&engine});
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        seen.clear();
+        fakes.is_ready = row.is_ready;
+        fakes.rate_requests.clear();
+        struct answer answer = ask(post(row.path, "b", row.headers));
+        EXPECT_EQ(answer.status, row.status);
+        EXPECT_EQ(seen.empty(), row.status != 200);
+        EXPECT_EQ(test_header(seen, "x-operator"), row.operator_name);
+        EXPECT_EQ(seen.find("k1"), std::string::npos);
+        EXPECT_EQ(test_header(seen, "x-key"), "");
+        EXPECT_EQ(fakes.rate_requests,
+                  row.operator_name[0] == '\0'
+                      ? std::vector<std::string>{}
+                      : std::vector<std::string>{row.operator_name});
+        EXPECT_EQ(answer.headers.count("retry-after"),
+                  row.status == 503 ? 1u : 0u);
+    }
+}
+
+/* Guards against keys that were looked up once for a connection. */
+TEST_F(Ingress, AKeyThatIsTakenAwayIsRefusedOnOpenConnections)
+{
+    struct test_server engine(serve_stream);
+    std::string request = post("/a/x", "b", "x-key: k1\r\n");
+    std::string rest;
+
+    operators = {{"ann", "k1"}, {"bob", "k2"}};
+    begin({&engine});
+    int fd = test_connect(port);
+    test_write(fd, request);
+    EXPECT_EQ(test_read_answer(fd, &rest).status, 200);
+    operators = {{"ann", "k4"}, {"bob", "k2"}};
+    struct world *next = make_site({&engine});
+    front_update(front, next, nullptr);
+    world_unref(next);
+    struct answer answer = {};
+    for (int i = 0; i < 2000 && answer.status != 401; i++) {
+        test_write(fd, request);
+        answer = test_read_answer(fd, &rest);
+        ASSERT_TRUE(answer.status == 200 || answer.status == 401);
+    }
+    EXPECT_EQ(answer.status, 401);
+    close(fd);
+}
+
+/* Guards against requests beyond the rate that run, or that learn no time for
+ * their return. */
+TEST_F(Ingress, RefusesRequestsAboveTheOperatorsRateAtOnce)
+{
+    bool has_run = false;
+    struct test_server engine([&](int fd, const std::string &request) {
+        has_run = true;
+        serve_stream(fd, request);
+    });
+
+    operators = {{"ann", "k1"}};
+    begin({&engine});
+    fakes.is_rate_allowed = false;
+    fakes.rate_retry_ms = 1250;
+    struct answer answer = ask(post("/a/x", "b", "x-key: k1\r\n"));
+    EXPECT_EQ(answer.status, 429);
+    EXPECT_EQ(answer.headers["retry-after"], "1.250");
+    EXPECT_FALSE(has_run);
+    EXPECT_EQ(ask(post("/open/x", "b")).status, 200);
+}
+
+/* A site without operators forwards both headers as they are. */
+TEST_F(Ingress, ForwardsKeysIfThereAreNoOperators)
+{
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = request;
+        serve_stream(fd, request);
+    });
+
+    begin({&engine});
+    EXPECT_EQ(ask(post("/a/x", "b", "x-key: k1\r\nx-operator: o\r\n")).status,
+              200);
+    EXPECT_EQ(test_header(seen, "x-key"), "k1");
+    EXPECT_EQ(test_header(seen, "x-operator"), "o");
+    EXPECT_TRUE(fakes.rate_requests.empty());
 }
 
 /* If the front ended the response properly, a caller would take a truncated
