Bound the records of suspected prompt parts that nodes exchange

Cause: once more parts were suspected than a node remembers (512), each node dropped records and took them again from its peers as news, so that all nodes sent some 500 records in every round for ever.

Change: a peer's record of an unknown part is taken only if it counts more than the least one of a full table, and a cleared one never; a message of a round holds 12 records at most, one for a node with another digest 64, those that may block first.

--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -19,6 +19,10 @@
      * this time at most, and for half of it at least. */
     FORGET_MS = 120000,
     DEFAULT_MAX_RECORDS = 512,
+    /* A message of some 500 bytes.  With three of them in 100 ms a node stays
+     * within 15 KB/s however many servers crash. */
+    DEFAULT_MAX_TAKEN = 12,
+    MAX_TAKEN_OF_ALL = 64, /* for a node that knows other blocked parts */
     DEFAULT_MAX_ANSWERED = 2048,
     /* A part that was answered lately needs as many times the crashes: then
      * the culprit, which mostly was not, is blocked first and alone. */
@@ -88,6 +92,9 @@
     if (desc->max_records == 0) {
         quarantine->desc.max_records = DEFAULT_MAX_RECORDS;
     }
+    if (desc->max_taken == 0) {
+        quarantine->desc.max_taken = DEFAULT_MAX_TAKEN;
+    }
     quarantine->nodes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     if (desc->max_answered == 0) {
         quarantine->desc.max_answered = DEFAULT_MAX_ANSWERED;
@@ -341,8 +348,9 @@
                : a->changed_ms < b->changed_ms;
 }
 
-static void
-drop_one(struct quarantine *quarantine)
+/* Returns the record that is dropped first, or NULL if there is none. */
+static const struct entry *
+find_least(const struct quarantine *quarantine)
 {
     GHashTableIter iter;
     gpointer value;
@@ -355,9 +363,14 @@
             first = entry;
         }
     }
-    if (first != NULL) {
-        g_hash_table_remove(quarantine->entries, &first->part);
-    }
+    return first;
+}
+
+static bool
+is_full(const struct quarantine *quarantine)
+{
+    return (int)g_hash_table_size(quarantine->entries) >=
+           quarantine->desc.max_records;
 }
 
 static struct entry *
@@ -368,9 +381,9 @@
     if (entry != NULL) {
         return entry;
     }
-    if ((int)g_hash_table_size(quarantine->entries) >=
-        quarantine->desc.max_records) {
-        drop_one(quarantine);
+    if (is_full(quarantine)) {
+        g_hash_table_remove(quarantine->entries,
+                            &find_least(quarantine)->part);
     }
     entry = g_new0(struct entry, 1);
     entry->part = part;
@@ -486,32 +499,73 @@
 
 /* ---- exchange between nodes ---- */
 
-/* Returns the records of type struct quarantine_record that changed and were
- * not yet taken often enough, or all; NULL if there are none.  The caller
- * frees the array. */
-GArray *
-quarantine_take(struct quarantine *quarantine, bool is_all, int64_t now_ms)
+/* Whether the digest of two nodes may differ by a record: one that may be
+ * blocked, or whose crashes an answer has cleared. */
+static bool
+may_change_digest(const struct quarantine *quarantine,
+                  const struct entry *entry)
 {
-    GArray *records = NULL;
+    return entry->state.n_clears > 0 ||
+           (int)entry->state.n_crashes >= quarantine->desc.max_crashes;
+}
+
+static gint
+compare_urgency(gconstpointer left, gconstpointer right, gpointer quarantine)
+{
+    const struct entry *a = *(struct entry *const *)left;
+    const struct entry *b = *(struct entry *const *)right;
+    int rank =
+        may_change_digest(quarantine, b) - may_change_digest(quarantine, a);
+
+    if (rank != 0) {
+        return rank;
+    }
+    return is_dropped_before(a, b) ? 1 : is_dropped_before(b, a) ? -1 : 0;
+}
+
+/* Returns the entries that are due, those that may be blocked first. */
+static GPtrArray *
+list_due(struct quarantine *quarantine, bool is_all)
+{
+    GPtrArray *due = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
 
     g_hash_table_iter_init(&iter, quarantine->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct entry *entry = value;
-        struct quarantine_record record;
-        if (!is_all && entry->rounds == 0) {
-            continue;
+        const struct entry *entry = value;
+        if (is_all || entry->rounds > 0) {
+            g_ptr_array_add(due, value);
         }
+    }
+    g_ptr_array_sort_with_data(due, compare_urgency, quarantine);
+    return due;
+}
+
+/* Returns records of type struct quarantine_record for other nodes; NULL if
+ * there are none: those that changed and were not yet taken often enough, or
+ * all.  Their number is limited, and the most urgent ones come first.  The
+ * caller frees the array. */
+GArray *
+quarantine_take(struct quarantine *quarantine, bool is_all, int64_t now_ms)
+{
+    GPtrArray *due = list_due(quarantine, is_all);
+    guint limit =
+        is_all ? MAX_TAKEN_OF_ALL : (guint)quarantine->desc.max_taken;
+    GArray *records = NULL;
+
+    for (guint i = 0; i < MIN(due->len, limit); i++) {
+        struct entry *entry = due->pdata[i];
+        struct quarantine_record record = {entry->part, entry->state,
+                                           now_ms - entry->crashed_ms};
         entry->rounds -= is_all ? 0 : 1;
-        record = (struct quarantine_record){entry->part, entry->state,
-                                            now_ms - entry->crashed_ms};
         if (records == NULL) {
             records =
                 g_array_new(FALSE, FALSE, sizeof(struct quarantine_record));
         }
         g_array_append_val(records, record);
     }
+    g_ptr_array_free(due, TRUE);
     return records;
 }
 
@@ -529,6 +583,18 @@
     return a->crash > b->crash;
 }
 
+/* Whether a peer's record of an unknown part is remembered.  One that would
+ * push out others which count no less is not: they would come back from peers,
+ * and nodes would exchange them for ever. */
+static bool
+is_worth_adding(const struct quarantine *quarantine,
+                const struct quarantine_record *record)
+{
+    return record->state.n_crashes > 0 &&
+           (!is_full(quarantine) ||
+            find_least(quarantine)->state.n_crashes < record->state.n_crashes);
+}
+
 /* Takes a peer's record if its state is later, so that it is taken for other
  * peers in turn.  Each transfer makes a crash seem later by its duration, so
  * its time is taken once.  Returns whether the record was new. */
@@ -536,9 +602,12 @@
 quarantine_merge(struct quarantine *quarantine,
                  const struct quarantine_record *record, int64_t now_ms)
 {
-    struct entry *entry = find_or_add(quarantine, record->part);
+    struct entry *entry = find_entry(quarantine, record->part);
 
-    if (!is_later(&record->state, &entry->state)) {
+    if (entry == NULL && is_worth_adding(quarantine, record)) {
+        entry = find_or_add(quarantine, record->part);
+    }
+    if (entry == NULL || !is_later(&record->state, &entry->state)) {
         return false;
     }
     entry->state = record->state;
--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -58,6 +58,7 @@
     int64_t retry_ms;   /* time from one try of this node to the next; 2,000 */
     uint64_t node;      /* number of this node, different for each */
     int max_records;    /* then those with the fewest crashes go; 512 */
+    int max_taken;      /* records in one message of a round; 12 */
     int max_answered;   /* remembered parts that were answered lately, half of
                            them; 2,048 */
 };
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -617,6 +617,57 @@
     EXPECT_TRUE(node.blocks({CULPRIT}, 2000));
 }
 
+/* Guards against records that nodes drop and learn again from each other for
+ * ever, because there are more than each of them remembers: that filled the
+ * links between regions.  In each round of 100 ms a node sends to three
+ * others. */
+TEST(Quarantine, MoreRecordsThanNodesRememberComeToRest)
+{
+    enum { N_NODES = 24, PER_NODE = 100, ROUND_MS = 100, MAX_SENT = 12 };
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::mt19937 random(7);
+    size_t n_sent = 0;
+    size_t n_sent_late = 0;
+    int64_t all_know_ms = 0;
+
+    for (uint64_t i = 0; i < N_NODES; i++) {
+        nodes.push_back(std::make_unique<Node>(0, i + 1));
+        for (uint64_t part = 0; part < PER_NODE; part++) {
+            nodes[i]->crash({10000 + i * PER_NODE + part}, i, 0);
+        }
+    }
+    for (int64_t now_ms = 1000; now_ms <= 3000; now_ms += 1000) {
+        nodes[0]->crash({CULPRIT}, 100 + (uint64_t)now_ms, now_ms);
+    }
+    for (int64_t now_ms = 3100; now_ms <= 63000; now_ms += ROUND_MS) {
+        size_t n_blocking = 0;
+        for (auto &node : nodes) {
+            GArray *records =
+                quarantine_take(&node->quarantine, false, now_ms);
+            if (records == nullptr) {
+                continue;
+            }
+            EXPECT_LE(records->len, (guint)MAX_SENT);
+            n_sent += records->len;
+            n_sent_late += now_ms > 33000 ? records->len : 0;
+            for (int i = 0; i < 3; i++) {
+                nodes[random() % N_NODES]->receive(records, now_ms + 30);
+            }
+            g_array_free(records, TRUE);
+        }
+        for (auto &node : nodes) {
+            n_blocking += node->blocks({CULPRIT}, now_ms) ? 1 : 0;
+        }
+        if (n_blocking == N_NODES && all_know_ms == 0) {
+            all_know_ms = now_ms;
+        }
+    }
+    EXPECT_EQ(n_sent_late, 0U);
+    EXPECT_GT(n_sent, 0U);
+    EXPECT_NE(all_know_ms, 0);
+    EXPECT_LE(all_know_ms, 4500) << "the one that blocks goes first";
+}
+
 /* Plays requests at nine servers and ten nodes, one in each step.  A part of
  * one in culprit_every crashes each server that begins to answer one; other
  * requests run beside it, and servers also crash for other reasons.  Crashes
