--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -174,7 +174,6 @@
     apply_changes(control);
     control_owner_tick(control);
     control_loads_tick(control);
-    control_rates_tick(control);
 }
 
 static int
@@ -187,6 +186,7 @@
     base_task_clear_wake_fd(&control->task);
     base_task_drain(&control->task);
     tick(control);
+    wait_ms = MIN(wait_ms, control_rates_tick(control));
     return MIN(wait_ms, tick_ms(control));
 }
 
@@ -201,6 +201,7 @@
         wire_endpoint_wait(&control->endpoint, task->wake_fd, wait_ms);
     }
     control->now_ms = base_clock_ms();
+    control_rates_leave(control);
     control_gossip_leave(control, true);
     end_ms = control->now_ms + LEAVE_SEND_MS;
     while (control->now_ms < end_ms) {
@@ -347,6 +348,7 @@
     g_free(control->owners);
     g_array_free(control->actions, TRUE);
     control_rates_free(control->rates);
+    g_hash_table_destroy(control->limiters);
     if (control->has_endpoint) {
         wire_endpoint_finish(&control->endpoint);
     }
@@ -398,7 +400,11 @@
     copy_settings(control, desc);
     control->now_ms = base_clock_ms();
     control->actions = g_array_new(FALSE, TRUE, sizeof(struct members_action));
-    control->rates = control_rates_new();
+    control->rates = control_rates_new(control);
+    control->limiters = control_limiters_new();
+    control->rate_tolerance = (struct allowance_tolerance){
+        desc->rate_tolerance.window_s, desc->rate_tolerance.overage,
+        desc->rate_tolerance.slack};
     if (!open_endpoint(control, desc, err)) {
         free_control(control);
         return NULL;
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -1,7 +1,7 @@
 /*
  * control: the task that owns a node's control socket.  It runs membership,
  * the admission controllers of the servers that this node owns, the contracts
- * that this node holds, operators' rate leases, and the synchronisation of
+ * that this node holds, operators' rate limits, and the synchronisation of
  * the configuration.
  *
  *     struct control_admission *admission =
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -26,12 +26,14 @@
  *   prompt_parts.c   parts of prompts that crash servers
  *   server_notices.c what servers say of themselves in responses
  *   retire.c         emptying this node on the operator's request
- *   rates.c          operators' rate limits
+ *   rates.c          operators' rate limits: deciding and reporting
+ *   limiters.c       the buckets of operators that this node limits
  *   status.c         the state as JSON
  */
 #ifndef CARDAMOM_CONTROL_PRIVATE_H
 #define CARDAMOM_CONTROL_PRIVATE_H
 
+#include "allowance/allowance.h"
 #include "contracts/pool.h"
 #include "control/control.h"
 #include "wire/control.pb-c.h"
@@ -63,6 +65,7 @@
     CONTROL_LOADS,
     CONTROL_PROMPT_PARTS,
     CONTROL_SERVER_NOTICES,
+    CONTROL_RATE_NOTICE,
     CONTROL_N_KINDS,
 };
 
@@ -288,6 +291,7 @@
     struct world_site_zone *site_zones;
     int n_site_zones;
     int n_watchers; /* watchers per availability zone; 0: see watchers.c */
+    struct allowance_tolerance rate_tolerance;
     bool may_retire;
     bool is_first_start;
     /* state */
@@ -314,6 +318,8 @@
     struct control_server_notices server_notices;
     struct control_retire retire;
     struct control_rates *rates;
+    GHashTable *limiters; /* operator to struct allowance_limiter */
+    guint n_rate_notices; /* sent so far */
 };
 
 enum { CONTROL_OWNER_UNKNOWN = -2 /* not looked up yet */ };
@@ -527,17 +533,35 @@
 void control_retire_tick(struct control *control);
 
 /* rates.c */
-struct control_rates *control_rates_new(void);
+struct control_rates *control_rates_new(struct control *control);
 void control_rates_free(struct control_rates *rates);
 void control_rates_update(struct control *control);
-void control_rates_tick(struct control *control);
+int control_rates_tick(struct control *control);
+void control_rates_leave(struct control *control);
 bool control_rates_allow(struct control_rates *rates,
                          const char *operator_name, int count);
 int64_t control_rates_retry_ms(struct control_rates *rates,
                                const char *operator_name);
-void control_rates_answer(struct control *control, const char *node,
-                          const Control__RateAsk *request,
-                          const struct wire_return *back);
+void control_rates_notice(struct control_rates *rates,
+                          const char *operator_name,
+                          const struct allowance_state *state, int64_t now_ms);
+bool control_rates_receive_report(struct control *control,
+                                  const struct wire_message *message);
+bool control_rates_receive_notice(struct control *control,
+                                  const struct wire_message *message);
+
+/* limiters.c */
+GHashTable *control_limiters_new(void);
+void control_limiters_update(struct control *control);
+void control_limiter_report(struct control *control, const char *operator_name,
+                            const char *node,
+                            const struct allowance_report *report,
+                            struct allowance_answer *out);
+int64_t control_limiters_tick(struct control *control);
+void control_rate_state_fill(const struct allowance_state *state,
+                             Control__RateAnswer *out);
+bool control_rate_state_read(const Control__RateAnswer *in,
+                             struct allowance_state *out);
 
 /* status.c */
 char *control_status_text(struct control *control);
--- a/packages/control/dispatch.c
+++ b/packages/control/dispatch.c
@@ -11,7 +11,7 @@
         "cancel",      "yield",        "report",         "audit",
         "news",        "record_pull",  "record",         "rate_ask",
         "rate_answer", "handover",     "recall",         "recalled",
-        "loads",       "prompt_parts", "server_notices",
+        "loads",       "prompt_parts", "server_notices", "rate_notice",
     };
 
     G_STATIC_ASSERT(G_N_ELEMENTS(NAMES) == CONTROL_N_KINDS - WIRE_FIRST_KIND);
@@ -176,23 +176,6 @@
     return is_ok;
 }
 
-static bool
-receive_rate_request(struct control *control,
-                     const struct wire_message *message)
-{
-    Control__RateAsk *request =
-        control__rate_ask__unpack(NULL, message->size, message->body);
-    bool is_ok =
-        request != NULL && control_is_valid_text(request->operator_name, 64);
-
-    if (is_ok) {
-        control_rates_answer(control, message->sender, request,
-                             &message->from);
-    }
-    control__rate_ask__free_unpacked(request, NULL);
-    return is_ok;
-}
-
 static bool
 receive_gossip(struct control *control, const struct wire_message *message)
 {
@@ -214,7 +197,8 @@
         [CONTROL_AUDIT] = receive_audit,
         [CONTROL_NEWS] = receive_update,
         [CONTROL_RECORD_PULL] = receive_record_pull,
-        [CONTROL_RATE_ASK] = receive_rate_request,
+        [CONTROL_RATE_ASK] = control_rates_receive_report,
+        [CONTROL_RATE_NOTICE] = control_rates_receive_notice,
         [CONTROL_HANDOVER] = control_handover_receive,
         [CONTROL_RECALL] = control_rebuild_receive,
         [CONTROL_LOADS] = control_loads_receive,
--- a/packages/control/fuzz_control.c
+++ b/packages/control/fuzz_control.c
@@ -31,7 +31,7 @@
         &control__record_pull__descriptor, &control__record__descriptor,
         &control__rate_ask__descriptor,    &control__rate_answer__descriptor,
         &control__handover__descriptor,    &control__recall__descriptor,
-        &control__recalled__descriptor,
+        &control__recalled__descriptor,    &control__rate_notice__descriptor,
     };
     return ALL[kind % G_N_ELEMENTS(ALL)];
 }
--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -1,71 +1,95 @@
 #include "control/control_private.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 enum {
-    TOKENS_PER_REQUEST = 1000, /* allows a refill by fractions of a request */
-    TICK_MS = 50,              /* interval between refills */
-    MS_PER_S = 1000,
-    MIN_REQUEST_MS =
-        1000, /* shortest interval of an operator's rate requests */
-    SHORT_LEASE_MS = 2000, /* term when demand exceeds half the limit */
-    LONG_LEASE_MS = 10000,
     REQUEST_TIMEOUT_MS = 1000,
-    BURST_S = 2,
-    FIRST_BURST = 8, /* requests that an idle node may admit at once */
+    /* After so long a lost limiter is tried again.  Members agree within some
+     * five seconds that a dead one is dead. */
+    LOST_RETRY_MS = 10000,
+    /* A longer interval between two rounds of the task is taken for a pause of
+     * the process.  The task waits for at most 100 ms. */
+    PAUSE_MS = 150,
+    MAX_WAIT_MS = 1000,
+    LOG_INTERVAL_MS = 1000,
 };
 
-/* An operator's rate limit at this node: a token bucket that refills at this
- * node's share of the limit.  The share is leased from the limiting node. */
+static const double MAX_CREDIT = 1e9;
+/* The least fraction on the wire, where 0 stands for all requests. */
+static const double MIN_FRACTION = 0.01;
+
+/* An operator's rate limit at this node. */
 struct rate {
     char *name;
-    double limit_per_s; /* limit for the whole fleet; 0: no limit */
-    int64_t tokens;     /* a request takes TOKENS_PER_REQUEST; atomic */
-    int64_t wanted;     /* requests since the last tick; atomic */
-    int64_t refused;    /* refused requests since the last tick; atomic */
-    double demand_per_s;
-    double share_per_s;
-    int64_t lease_until_ms;
-    int64_t last_request_ms;
-    bool is_requesting;
+    GMutex lock; /* protects `account` and `n_refused` */
+    struct allowance_account account;
+    int64_t n_refused; /* since the last log line */
+    /* The rest belongs to the control task. */
+    int limiter; /* index in the view; WORLD_NONE: no node accepts work */
+    char limiter_name[MEMBERS_NAME_SIZE];
+    uint64_t choice; /* the control_rates.choice for which it was chosen */
+    int64_t next_log_ms;
 };
 
-/* One node's lease, as the limiting node of the operator records it. */
-struct lease {
-    double demand_per_s;
-    int64_t until_ms;
+/* The nodes that may be limiters, and the view for which they were found. */
+struct candidates {
+    uint64_t version;
+    int n_accepting;
+    int most_cpu_milli;
 };
 
 struct control_rates {
-    /* Protects by_name; the atomic fields of a rate need no lock. */
+    struct control *control;
+    /* Protects by_name, which only the control task changes. */
     pthread_rwlock_t lock;
     GHashTable *by_name;          /* operator to struct rate */
-    GHashTable *leases;           /* operator to (node to struct lease) */
     GHashTable *pending_requests; /* set of struct rate_request */
-    int64_t next_tick_ms;
+    GHashTable *lost; /* name of a limiter that does not answer to the time to
+                         try it again, int64_t */
+    uint64_t choice;  /* changes with the view and with `lost` */
+    uint64_t next_instance;
+    struct candidates candidates;
+    int64_t due_ms; /* next round, on base_clock_ms; atomic */
+    int64_t last_round_ms;
+    struct base_counter *admitted;
+    struct base_counter *refused;
+    struct base_counter *overdrawn;
+    struct base_counter *alone;
+    struct base_counter *reports;
 };
 
 static void
 free_rate(gpointer data)
 {
     struct rate *rate = data;
+    g_mutex_clear(&rate->lock);
     g_free(rate->name);
     g_free(rate);
 }
 
 /* Creates an empty set of limits. */
 struct control_rates *
-control_rates_new(void)
+control_rates_new(struct control *control)
 {
     struct control_rates *rates = g_new0(struct control_rates, 1);
+    struct base_counters *counters = control->counters;
 
+    rates->control = control;
     pthread_rwlock_init(&rates->lock, NULL);
     rates->by_name =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_rate);
-    rates->leases = g_hash_table_new_full(
-        g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_destroy);
     rates->pending_requests =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free, NULL);
+    rates->lost =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rates->due_ms = ALLOWANCE_NEVER;
+    rates->next_instance = (uint64_t)base_wall_us();
+    rates->admitted = base_counter(counters, "rate_admitted_total");
+    rates->refused = base_counter(counters, "rate_refused_total");
+    rates->overdrawn = base_counter(counters, "rate_overdrawn_total");
+    rates->alone = base_counter(counters, "rate_alone_total");
+    rates->reports = base_counter(counters, "rate_reports_total");
     return rates;
 }
 
@@ -74,48 +98,73 @@
 control_rates_free(struct control_rates *rates)
 {
     g_hash_table_destroy(rates->pending_requests);
-    g_hash_table_destroy(rates->leases);
+    g_hash_table_destroy(rates->lost);
     g_hash_table_destroy(rates->by_name);
     pthread_rwlock_destroy(&rates->lock);
     g_free(rates);
 }
 
+/* ---- decisions; any thread ---- */
+
+/* Makes the next round start at due_ms at the latest. */
 static bool
-take_tokens(struct rate *rate, int64_t wanted)
+set_due(struct control_rates *rates, int64_t due_ms)
 {
-    int64_t have = __atomic_load_n(&rate->tokens, __ATOMIC_RELAXED);
+    int64_t before = __atomic_load_n(&rates->due_ms, __ATOMIC_RELAXED);
 
-    while (have >= wanted) {
-        if (__atomic_compare_exchange_n(&rate->tokens, &have, have - wanted,
-                                        true, __ATOMIC_RELAXED,
-                                        __ATOMIC_RELAXED)) {
+    while (due_ms < before) {
+        if (__atomic_compare_exchange_n(&rates->due_ms, &before, due_ms, true,
+                                        __ATOMIC_RELAXED, __ATOMIC_RELAXED)) {
             return true;
         }
     }
     return false;
 }
 
+static void
+count_verdict(struct control_rates *rates, enum allowance_verdict verdict,
+              int count)
+{
+    base_counter_add(verdict == ALLOWANCE_REFUSED ? rates->refused
+                                                  : rates->admitted,
+                     count);
+    if (verdict == ALLOWANCE_OVERDRAWN) {
+        base_counter_add(rates->overdrawn, count);
+    }
+    else if (verdict == ALLOWANCE_ALONE) {
+        base_counter_add(rates->alone, count);
+    }
+}
+
 /* Whether the operator may send `count` requests now; if so, takes them from
- * its share at this node.  True for operators that have no limit or are not
- * known here.  Any thread. */
+ * its account.  True for operators that have no limit or are not known here.
+ * Wakes the control task if a report becomes due before its next round.  Any
+ * thread. */
 bool
 control_rates_allow(struct control_rates *rates, const char *operator_name,
                     int count)
 {
+    enum allowance_verdict verdict;
     struct rate *rate;
-    bool is_allowed = true;
+    int64_t due_ms;
 
     pthread_rwlock_rdlock(&rates->lock);
     rate = g_hash_table_lookup(rates->by_name, operator_name);
-    if (rate != NULL && rate->limit_per_s > 0) {
-        __atomic_fetch_add(&rate->wanted, count, __ATOMIC_RELAXED);
-        is_allowed = take_tokens(rate, (int64_t)count * TOKENS_PER_REQUEST);
-        if (!is_allowed) {
-            __atomic_fetch_add(&rate->refused, count, __ATOMIC_RELAXED);
-        }
+    if (rate == NULL) {
+        pthread_rwlock_unlock(&rates->lock);
+        return true;
     }
+    g_mutex_lock(&rate->lock);
+    verdict = allowance_admit(&rate->account, count, base_clock_ms());
+    rate->n_refused += verdict == ALLOWANCE_REFUSED ? count : 0;
+    due_ms = allowance_due_ms(&rate->account);
+    g_mutex_unlock(&rate->lock);
     pthread_rwlock_unlock(&rates->lock);
-    return is_allowed;
+    if (set_due(rates, due_ms)) {
+        base_task_wake_fd(&rates->control->task);
+    }
+    count_verdict(rates, verdict, count);
+    return verdict != ALLOWANCE_REFUSED;
 }
 
 /* Returns when the operator's next request at this node is expected to be
@@ -123,61 +172,55 @@
 int64_t
 control_rates_retry_ms(struct control_rates *rates, const char *operator_name)
 {
-    const struct rate *rate;
-    double share_per_s = 0;
+    struct rate *rate;
+    int64_t retry_ms = 0;
 
     pthread_rwlock_rdlock(&rates->lock);
     rate = g_hash_table_lookup(rates->by_name, operator_name);
     if (rate != NULL) {
-        share_per_s = rate->share_per_s;
+        g_mutex_lock(&rate->lock);
+        retry_ms = allowance_retry_ms(&rate->account, base_clock_ms());
+        g_mutex_unlock(&rate->lock);
     }
     pthread_rwlock_unlock(&rates->lock);
-    return share_per_s > 0 ? (int64_t)(MS_PER_S / share_per_s)
-                           : SHORT_LEASE_MS;
+    return retry_ms;
 }
 
-static int
-count_accepting_nodes(const struct members_view *view)
-{
-    int n_accepting = 0;
-
-    for (int i = 0; i < view->n_nodes; i++) {
-        n_accepting += members_accepts_work(&view->nodes[i]) ? 1 : 0;
-    }
-    return MAX(n_accepting, 1);
-}
-
-static int64_t
-burst_tokens(const struct rate *rate)
-{
-    double requests = MAX(rate->share_per_s * BURST_S,
-                          MIN(rate->limit_per_s, (double)FIRST_BURST));
-    return (int64_t)(MAX(requests, 1.0) * TOKENS_PER_REQUEST);
-}
+/* ---- configuration ---- */
 
 static void
-set_limit(struct control_rates *rates, const struct world_operator *config,
-          int n_accepting)
+set_limit(struct control *control, const struct world_operator *config)
 {
+    struct control_rates *rates = control->rates;
+    struct allowance_limit limit = {config->requests_per_s, config->burst};
     struct rate *rate = g_hash_table_lookup(rates->by_name, config->name);
 
     if (rate == NULL) {
         rate = g_new0(struct rate, 1);
         rate->name = g_strdup(config->name);
+        rate->limiter = WORLD_NONE;
+        g_mutex_init(&rate->lock);
+        /* Each account has an instance of its own, since its totals start
+         * at 0. */
+        allowance_account_init(&rate->account, rates->next_instance++,
+                               g_random_double());
+        allowance_account_set_nodes(&rate->account,
+                                    MAX(control->view->n_nodes, 1));
         g_hash_table_insert(rates->by_name, rate->name, rate);
     }
-    if (rate->limit_per_s != config->requests_per_s) {
-        rate->limit_per_s = config->requests_per_s;
-        rate->share_per_s = config->requests_per_s / n_accepting;
-        rate->lease_until_ms = 0;
-        __atomic_store_n(&rate->tokens, burst_tokens(rate), __ATOMIC_RELAXED);
-    }
+    g_mutex_lock(&rate->lock);
+    allowance_account_set_limit(&rate->account, &limit,
+                                &control->rate_tolerance, control->now_ms);
+    g_mutex_unlock(&rate->lock);
 }
 
 static gboolean
 is_removed(gpointer key, gpointer value, gpointer world)
 {
-    return world_find_operator(world, key) == WORLD_NONE;
+    int index = world_find_operator(world, key);
+
+    return index == WORLD_NONE ||
+           ((struct world *)world)->operators[index].requests_per_s <= 0;
 }
 
 /* Applies the operators and limits of a new configuration. */
@@ -185,97 +228,55 @@
 control_rates_update(struct control *control)
 {
     struct control_rates *rates = control->rates;
-    int n_accepting = count_accepting_nodes(control->view);
 
     pthread_rwlock_wrlock(&rates->lock);
     g_hash_table_foreach_remove(rates->by_name, is_removed, control->world);
     for (int i = 0; i < control->world->n_operators; i++) {
-        set_limit(rates, &control->world->operators[i], n_accepting);
+        if (control->world->operators[i].requests_per_s > 0) {
+            set_limit(control, &control->world->operators[i]);
+        }
     }
     pthread_rwlock_unlock(&rates->lock);
+    control_limiters_update(control);
 }
 
-/* ---- limiting node ---- */
-
-static double
-total_demand(GHashTable *leases, int64_t now_ms)
-{
-    double total = 0;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, leases);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct lease *lease = value;
-        if (lease->until_ms <= now_ms) {
-            g_hash_table_iter_remove(&iter);
-            continue;
-        }
-        total += lease->demand_per_s;
-    }
-    return total;
-}
+/* ---- choice of the limiter ---- */
 
-/* Records the lease of one node and fills in the node's share.  While the
- * total demand of all n leases is within the limit, the share is the node's
- * demand plus 1/(n + 1) of the unused rate.  Otherwise the limit is divided in
- * proportion to demand. */
 static void
-grant_lease(struct control *control, const char *operator_name,
-            const char *node, double demand_per_s, Control__RateAnswer *answer)
+find_candidates(struct control *control)
 {
-    int index = world_find_operator(control->world, operator_name);
-    double limit = control->world->operators[index].requests_per_s;
-    GHashTable *leases =
-        g_hash_table_lookup(control->rates->leases, operator_name);
-    struct lease *lease;
-    double total;
-
-    if (leases == NULL) {
-        leases =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-        g_hash_table_insert(control->rates->leases, g_strdup(operator_name),
-                            leases);
-    }
-    lease = g_new0(struct lease, 1);
-    lease->demand_per_s = demand_per_s;
-    lease->until_ms = control->now_ms + LONG_LEASE_MS;
-    g_hash_table_insert(leases, g_strdup(node), lease);
-    total = total_demand(leases, control->now_ms);
-    if (total <= limit) {
-        double left = limit - total;
-        answer->share_per_s =
-            demand_per_s + left / (g_hash_table_size(leases) + 1);
+    const struct members_view *view = control->view;
+    struct control_rates *rates = control->rates;
+    struct candidates found = {.version = view->version};
+
+    if (rates->candidates.version == view->version && rates->choice > 0) {
+        return;
     }
-    else {
-        answer->share_per_s = limit * demand_per_s / total;
+    for (int i = 0; i < view->n_nodes; i++) {
+        if (members_accepts_work(&view->nodes[i])) {
+            found.n_accepting++;
+            found.most_cpu_milli =
+                MAX(found.most_cpu_milli, view->nodes[i].cpu_milli);
+        }
     }
-    answer->valid_ms = total > limit / 2 ? SHORT_LEASE_MS : LONG_LEASE_MS;
+    rates->candidates = found;
+    rates->choice++;
 }
 
-/* Handles another node's request for its share of an operator's limit.
- * Invalid requests and unknown operators get no reply. */
-void
-control_rates_answer(struct control *control, const char *node,
-                     const Control__RateAsk *message,
-                     const struct wire_return *back)
+static bool
+is_candidate(const struct candidates *candidates,
+             const struct members_node *node)
 {
-    Control__RateAnswer answer = CONTROL__RATE_ANSWER__INIT;
-
-    if (control->world == NULL || !(message->demand_per_s >= 0) ||
-        world_find_operator(control->world, message->operator_name) ==
-            WORLD_NONE) {
-        return;
-    }
-    grant_lease(control, message->operator_name, node, message->demand_per_s,
-                &answer);
-    control_reply(control, back, CONTROL_RATE_ANSWER, &answer.base);
+    return members_accepts_work(node) &&
+           (candidates->most_cpu_milli == 0 ||
+            2 * node->cpu_milli > candidates->most_cpu_milli);
 }
 
-/* Returns the node that limits the operator: the one with the highest hash of
- * both names among those that accept work, so that all nodes agree. */
+/* Returns the candidate with the highest hash of the operator's and its own
+ * name, or with the highest but `except`; WORLD_NONE if there is none.  Equal
+ * views give the same result on all nodes. */
 static int
-find_limiter(struct control *control, const char *operator_name)
+best_candidate(struct control *control, const char *operator_name, int except)
 {
     const struct members_view *view = control->view;
     uint64_t seed = base_hash_text(operator_name, 0);
@@ -283,9 +284,13 @@
     int best = WORLD_NONE;
 
     for (int i = 0; i < view->n_nodes; i++) {
-        uint64_t weight = base_hash_text(view->nodes[i].name, seed);
-        if (members_accepts_work(&view->nodes[i]) &&
-            (best == WORLD_NONE || weight > best_weight)) {
+        uint64_t weight;
+        if (i == except ||
+            !is_candidate(&control->rates->candidates, &view->nodes[i])) {
+            continue;
+        }
+        weight = base_hash_text(view->nodes[i].name, seed);
+        if (best == WORLD_NONE || weight > best_weight) {
             best = i;
             best_weight = weight;
         }
@@ -293,147 +298,399 @@
     return best;
 }
 
-/* ---- requesting node ---- */
+static bool
+is_lost(struct control *control, int node)
+{
+    return node != WORLD_NONE &&
+           g_hash_table_contains(control->rates->lost,
+                                 control->view->nodes[node].name);
+}
 
-/* A pending rate request.  It stores the operator's name instead of a pointer
- * to its rate, as the operator may be removed before the answer arrives. */
+/* Returns the operator's limiter, or its substitute while this node gets no
+ * answer from it.  The substitute is the next candidate, the same one at all
+ * nodes. */
+static int
+choose_limiter(struct control *control, const char *operator_name)
+{
+    int best = best_candidate(control, operator_name, WORLD_NONE);
+    int next;
+
+    if (!is_lost(control, best)) {
+        return best;
+    }
+    next = best_candidate(control, operator_name, best);
+    return next == WORLD_NONE || is_lost(control, next) ? best : next;
+}
+
+/* Chooses the limiter anew if the view or the lost limiters have changed. */
+static void
+update_limiter(struct control *control, struct rate *rate)
+{
+    const char *name;
+
+    find_candidates(control);
+    if (rate->choice == control->rates->choice) {
+        return;
+    }
+    rate->choice = control->rates->choice;
+    rate->limiter = choose_limiter(control, rate->name);
+    name = rate->limiter == WORLD_NONE
+               ? ""
+               : control->view->nodes[rate->limiter].name;
+    allowance_account_set_nodes(&rate->account,
+                                control->rates->candidates.n_accepting);
+    if (strcmp(name, rate->limiter_name) != 0) {
+        g_strlcpy(rate->limiter_name, name, sizeof(rate->limiter_name));
+        allowance_account_limiter_changed(&rate->account);
+    }
+}
+
+static void
+note_lost(struct control *control, const char *limiter)
+{
+    int64_t *retry_at_ms;
+
+    if (limiter[0] == '\0' ||
+        g_hash_table_contains(control->rates->lost, limiter)) {
+        return;
+    }
+    base_log(BASE_LOG_WARNING, "rate.limiter_lost", "limiter=%s", limiter);
+    retry_at_ms = g_new(int64_t, 1);
+    *retry_at_ms = control->now_ms + LOST_RETRY_MS;
+    g_hash_table_insert(control->rates->lost, g_strdup(limiter), retry_at_ms);
+    control->rates->choice++;
+}
+
+static void
+note_found(struct control *control, const char *limiter)
+{
+    if (g_hash_table_remove(control->rates->lost, limiter)) {
+        base_log(BASE_LOG_NOTICE, "rate.limiter_found", "limiter=%s", limiter);
+        control->rates->choice++;
+    }
+}
+
+static gboolean
+is_retried(gpointer key, gpointer value, gpointer control)
+{
+    return *(int64_t *)value <= ((struct control *)control)->now_ms;
+}
+
+/* ---- reports ---- */
+
+/* A pending report.  It stores the operator's name instead of a pointer to its
+ * rate, as the operator may be removed before the answer arrives. */
 struct rate_request {
     struct control *control;
-    char operator_name[64];
+    char operator_name[WORLD_OPERATOR_NAME_SIZE];
+    char limiter[MEMBERS_NAME_SIZE];
+    struct allowance_report report;
 };
 
+static bool
+read_answer(const Control__RateAnswer *in, struct allowance_answer *out)
+{
+    if (in == NULL || !control_rate_state_read(in, &out->state) ||
+        !(in->credit >= 0) || !((double)in->credit <= MAX_CREDIT) ||
+        !(in->part >= 0) || !(in->part <= 1)) {
+        return false;
+    }
+    out->credit = (double)in->credit;
+    out->part = (double)in->part;
+    return true;
+}
+
 static void
-apply_share(struct control *control, struct rate *rate, double share_per_s,
-            int64_t valid_ms)
+apply_answer(struct rate_request *request,
+             const struct allowance_answer *answer)
 {
-    rate->is_requesting = false;
-    rate->share_per_s = CLAMP(share_per_s, 0, rate->limit_per_s);
-    rate->lease_until_ms = control->now_ms + MAX(valid_ms, MIN_REQUEST_MS);
+    struct control *control = request->control;
+    struct rate *rate =
+        g_hash_table_lookup(control->rates->by_name, request->operator_name);
+
+    note_found(control, request->limiter);
+    if (rate == NULL || rate->account.instance != request->report.instance) {
+        return;
+    }
+    g_mutex_lock(&rate->lock);
+    allowance_answered(&rate->account, &request->report, answer,
+                       control->now_ms);
+    g_mutex_unlock(&rate->lock);
 }
 
 static void
-on_rate_request_done(void *context, const struct wire_answer *reply)
+on_report_answered(void *context, const struct wire_answer *reply)
 {
     struct rate_request *request = context;
-    struct rate *rate = g_hash_table_lookup(request->control->rates->by_name,
-                                            request->operator_name);
-    Control__RateAnswer *answer = NULL;
+    struct allowance_answer answer;
+    Control__RateAnswer *message = NULL;
 
     if (reply->code == BASE_OK && reply->kind == CONTROL_RATE_ANSWER) {
-        answer = control__rate_answer__unpack(NULL, reply->size, reply->body);
+        message = control__rate_answer__unpack(NULL, reply->size, reply->body);
     }
-    if (rate != NULL) {
-        /* Without an answer the last share stays in force. */
-        rate->is_requesting = false;
-        if (answer != NULL && answer->share_per_s >= 0) {
-            apply_share(request->control, rate, answer->share_per_s,
-                        answer->valid_ms);
-        }
+    if (read_answer(message, &answer)) {
+        apply_answer(request, &answer);
     }
-    control__rate_answer__free_unpacked(answer, NULL);
+    control__rate_answer__free_unpacked(message, NULL);
     g_hash_table_remove(request->control->rates->pending_requests, request);
 }
 
 static void
-request_rate_share(struct control *control, struct rate *rate)
+send_report(struct control *control, struct rate *rate,
+            const struct allowance_report *report)
 {
-    int limiter = find_limiter(control, rate->name);
+    struct rate_request *request = g_new0(struct rate_request, 1);
     Control__RateAsk message = CONTROL__RATE_ASK__INIT;
     struct control_bytes bytes;
 
-    rate->last_request_ms = control->now_ms;
-    if (limiter == WORLD_NONE) {
-        return;
-    }
-    if (control_is_self(control, limiter)) {
-        Control__RateAnswer answer = CONTROL__RATE_ANSWER__INIT;
-        grant_lease(control, rate->name, control->node, rate->demand_per_s,
-                    &answer);
-        apply_share(control, rate, answer.share_per_s, answer.valid_ms);
-        return;
-    }
-    struct rate_request *request = g_new0(struct rate_request, 1);
     request->control = control;
+    request->report = *report;
     g_strlcpy(request->operator_name, rate->name,
               sizeof(request->operator_name));
+    g_strlcpy(request->limiter, rate->limiter_name, sizeof(request->limiter));
     g_hash_table_add(control->rates->pending_requests, request);
     message.operator_name = rate->name;
-    message.demand_per_s = rate->demand_per_s;
+    message.instance = report->instance;
+    message.total = report->total;
+    message.unacknowledged = report->unacknowledged;
+    message.seen = report->seen;
+    message.fraction =
+        report->fraction < 1 ? (float)MAX(report->fraction, MIN_FRACTION) : 0;
     bytes = control_pack(&message.base);
-    rate->is_requesting = true;
     wire_request(&control->endpoint,
                  &(struct wire_request_desc){
-                     .address = control_node_address(control, limiter),
+                     .address = control_node_address(control, rate->limiter),
                      .kind = CONTROL_RATE_ASK,
                      .body = bytes.data,
                      .size = bytes.size,
                      .timeout_ms = REQUEST_TIMEOUT_MS,
                      .is_idempotent = true,
-                     .answered = on_rate_request_done,
+                     .answered = on_report_answered,
                      .context = request,
                  });
     g_free(bytes.data);
 }
 
+/* Reports to the operator's limiter, or directly if that is this node. */
 static void
-refill(struct rate *rate, double elapsed_s)
+report(struct control *control, struct rate *rate)
 {
-    int64_t limit = burst_tokens(rate);
-    int64_t more =
-        (int64_t)(rate->share_per_s * elapsed_s * TOKENS_PER_REQUEST);
-    int64_t have = __atomic_load_n(&rate->tokens, __ATOMIC_RELAXED);
-
-    if (have >= limit) {
+    struct allowance_report out;
+    struct allowance_answer answer;
+    bool is_unanswered;
+
+    base_counter_add(control->rates->reports, 1);
+    g_mutex_lock(&rate->lock);
+    is_unanswered = allowance_is_alone(&rate->account, control->now_ms);
+    if (is_unanswered) {
+        note_lost(control, rate->limiter_name);
+    }
+    update_limiter(control, rate);
+    allowance_report(&rate->account, control->now_ms, &out);
+    g_mutex_unlock(&rate->lock);
+    if (rate->limiter == WORLD_NONE) {
+        return;
+    }
+    if (!control_is_self(control, rate->limiter)) {
+        send_report(control, rate, &out);
         return;
     }
-    __atomic_fetch_add(&rate->tokens, MIN(more, limit - have),
-                       __ATOMIC_RELAXED);
+    control_limiter_report(control, rate->name, control->node, &out, &answer);
+    g_mutex_lock(&rate->lock);
+    allowance_answered(&rate->account, &out, &answer, control->now_ms);
+    g_mutex_unlock(&rate->lock);
 }
 
 static void
-tick_rate(struct control *control, struct rate *rate, double elapsed_s)
-{
-    double wanted =
-        (double)__atomic_exchange_n(&rate->wanted, 0, __ATOMIC_RELAXED);
-    bool has_refused =
-        __atomic_exchange_n(&rate->refused, 0, __ATOMIC_RELAXED) > 0;
-    double alpha = MIN(elapsed_s, 1.0);
-    bool is_due;
-
-    /* The demand is a moving average over about a second. */
-    rate->demand_per_s += alpha * (wanted / elapsed_s - rate->demand_per_s);
-    refill(rate, elapsed_s);
-    /* Idle operators need no lease; their last share stays in force. */
-    is_due = (rate->demand_per_s > 0.1 &&
-              control->now_ms >= rate->lease_until_ms) ||
-             has_refused;
-    if (is_due && !rate->is_requesting &&
-        control->now_ms - rate->last_request_ms >= MIN_REQUEST_MS) {
-        request_rate_share(control, rate);
-    }
-}
-
-/* Refills the token buckets and sends the requests for rate shares that are
- * due. */
-void
-control_rates_tick(struct control *control)
+log_refusals(struct control *control, struct rate *rate)
+{
+    int64_t n_refused;
+
+    g_mutex_lock(&rate->lock);
+    n_refused = rate->n_refused;
+    rate->n_refused = control->now_ms < rate->next_log_ms ? n_refused : 0;
+    g_mutex_unlock(&rate->lock);
+    if (n_refused > 0 && control->now_ms >= rate->next_log_ms) {
+        base_log(BASE_LOG_NOTICE, "rate.refused",
+                 "operator=%s requests=%" PRId64, rate->name, n_refused);
+        rate->next_log_ms = control->now_ms + LOG_INTERVAL_MS;
+    }
+}
+
+static int64_t
+lock_and_get_due(struct rate *rate)
+{
+    int64_t due_ms;
+
+    g_mutex_lock(&rate->lock);
+    due_ms = allowance_due_ms(&rate->account);
+    g_mutex_unlock(&rate->lock);
+    return due_ms;
+}
+
+/* After a pause of the process, a report without an answer says nothing of the
+ * limiter: reports it again instead. */
+static void
+forgive_pause(struct control *control)
 {
     struct control_rates *rates = control->rates;
-    int64_t since_ms = control->now_ms - rates->next_tick_ms + TICK_MS;
-    double elapsed_s = (double)MIN(since_ms, 1000) / 1000;
+    int64_t since_ms = control->now_ms - rates->last_round_ms;
     GHashTableIter iter;
     gpointer value;
 
-    if (control->now_ms < rates->next_tick_ms || control->world == NULL) {
+    rates->last_round_ms = control->now_ms;
+    if (since_ms <= PAUSE_MS) {
         return;
     }
-    rates->next_tick_ms = control->now_ms + TICK_MS;
-    /* Only this task changes the table, so reading it needs no lock here. */
     g_hash_table_iter_init(&iter, rates->by_name);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rate *rate = value;
-        if (rate->limit_per_s > 0) {
-            tick_rate(control, rate, elapsed_s);
+        g_mutex_lock(&rate->lock);
+        allowance_account_limiter_changed(&rate->account);
+        set_due(rates, allowance_due_ms(&rate->account));
+        g_mutex_unlock(&rate->lock);
+    }
+}
+
+/* Sends the reports and notices that are due.  Only this task changes the
+ * table, so reading it needs no lock here. */
+static void
+run_round(struct control *control)
+{
+    struct control_rates *rates = control->rates;
+    GHashTableIter iter;
+    gpointer value;
+
+    __atomic_store_n(&rates->due_ms, ALLOWANCE_NEVER, __ATOMIC_RELAXED);
+    if (g_hash_table_foreach_remove(rates->lost, is_retried, control) > 0) {
+        rates->choice++;
+    }
+    g_hash_table_iter_init(&iter, rates->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rate *rate = value;
+        if (lock_and_get_due(rate) <= control->now_ms) {
+            report(control, rate);
+            log_refusals(control, rate);
+        }
+        set_due(rates, lock_and_get_due(rate));
+    }
+    set_due(rates, control_limiters_tick(control));
+}
+
+/* Sends the reports and notices that are due; returns in how many ms to call
+ * it again at the latest. */
+int
+control_rates_tick(struct control *control)
+{
+    struct control_rates *rates = control->rates;
+    int64_t due_ms;
+
+    if (control->world == NULL) {
+        return MAX_WAIT_MS;
+    }
+    forgive_pause(control);
+    if (__atomic_load_n(&rates->due_ms, __ATOMIC_RELAXED) <= control->now_ms) {
+        run_round(control);
+    }
+    due_ms = __atomic_load_n(&rates->due_ms, __ATOMIC_RELAXED);
+    return (int)CLAMP(due_ms - control->now_ms, 1, MAX_WAIT_MS);
+}
+
+/* Reports what has not been reported yet, before the node leaves. */
+void
+control_rates_leave(struct control *control)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->rates->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rate *rate = value;
+        if (lock_and_get_due(rate) != ALLOWANCE_NEVER) {
+            report(control, rate);
         }
     }
 }
+
+/* ---- messages ---- */
+
+/* Applies the state of an operator's limiter to this node's account. */
+void
+control_rates_notice(struct control_rates *rates, const char *operator_name,
+                     const struct allowance_state *state, int64_t now_ms)
+{
+    struct rate *rate = g_hash_table_lookup(rates->by_name, operator_name);
+
+    if (rate != NULL) {
+        g_mutex_lock(&rate->lock);
+        allowance_noticed(&rate->account, state, now_ms);
+        g_mutex_unlock(&rate->lock);
+    }
+}
+
+static bool
+has_limit(struct control *control, const char *operator_name)
+{
+    int index = world_find_operator(control->world, operator_name);
+
+    return index != WORLD_NONE &&
+           control->world->operators[index].requests_per_s > 0;
+}
+
+/* Answers for an operator that has no limit in the configuration known here.
+ * The sender's configuration may be newer; without an answer it would take
+ * this node for lost. */
+static void
+answer_unlimited(struct control *control, struct allowance_answer *out)
+{
+    *out = (struct allowance_answer){
+        .state = {.stamp_ms = control->now_ms, .fraction = 1},
+    };
+}
+
+static void
+answer_report(struct control *control, const struct wire_message *message,
+              const Control__RateAsk *in)
+{
+    const struct allowance_report reported = {
+        .instance = in->instance,
+        .total = in->total,
+        .unacknowledged = in->unacknowledged,
+        .seen = in->seen,
+        .fraction = in->fraction > 0 ? (double)in->fraction : 1,
+    };
+    Control__RateAnswer out = CONTROL__RATE_ANSWER__INIT;
+    struct allowance_answer answer;
+
+    if (has_limit(control, in->operator_name)) {
+        control_limiter_report(control, in->operator_name, message->sender,
+                               &reported, &answer);
+    }
+    else {
+        answer_unlimited(control, &answer);
+    }
+    control_rate_state_fill(&answer.state, &out);
+    out.credit = (float)answer.credit;
+    out.part = (float)answer.part;
+    control_reply(control, &message->from, CONTROL_RATE_ANSWER, &out.base);
+}
+
+/* Handles a node's report to a limiter.  Without a configuration it gets no
+ * answer, so that the node tries another limiter.  False if malformed. */
+bool
+control_rates_receive_report(struct control *control,
+                             const struct wire_message *message)
+{
+    Control__RateAsk *report =
+        control__rate_ask__unpack(NULL, message->size, message->body);
+    bool is_ok =
+        report != NULL && report->unacknowledged <= report->total &&
+        report->total <= report->seen &&
+        control_is_valid_text(report->operator_name, WORLD_OPERATOR_NAME_SIZE);
+
+    if (is_ok && control->world != NULL) {
+        answer_report(control, message, report);
+    }
+    control__rate_ask__free_unpacked(report, NULL);
+    return is_ok;
+}
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -650,6 +650,88 @@
     EXPECT_TRUE(control_rate_allow(fleet.at(0), "unknown", 1));
 }
 
+/* Keeps a node's control task from running while it exists. */
+struct BlockedNode {
+    struct base_call call = {};
+    struct base_task *task;
+    int is_released = 0; /* atomic */
+    bool is_done = false;
+
+    BlockedNode(struct control *control, struct base_task *from) : task(from)
+    {
+        static const struct base_call_ops OPS = {serve, done, done_dropped};
+        base_call_send(&call, &OPS, &control->task, from);
+    }
+    ~BlockedNode()
+    {
+        g_atomic_int_set(&is_released, 1);
+        while (!is_done) {
+            base_task_drain(task);
+            g_usleep(1000);
+        }
+    }
+    static void
+    serve(struct base_call *call, void *)
+    {
+        while (!g_atomic_int_get(&((BlockedNode *)call)->is_released)) {
+            g_usleep(1000);
+        }
+        base_call_reply(call);
+    }
+    static void
+    done(struct base_call *call, void *)
+    {
+        ((BlockedNode *)call)->is_done = true;
+    }
+    static void
+    done_dropped(struct base_call *call)
+    {
+        done(call, nullptr);
+    }
+};
+
+/* The loss of a limiter must neither refuse requests within the limit nor let
+ * the other nodes exceed it.  Node 2 is the limiter of some of the operators.
+ */
+TEST(Control, RateLimitsHoldWithoutTheLimiter)
+{
+    enum { N_OPERATORS = 6, RATE = 20 };
+    std::string operators;
+    for (int i = 0; i < N_OPERATORS; i++) {
+        operators += std::string(i ? "," : "[") + R"({"name": "o)" +
+                     std::to_string(i) + R"(", "requests_per_s": 20})";
+    }
+    Fleet fleet(3);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    ASSERT_TRUE(fleet.apply_config(1, document(1, (operators + "]").c_str())));
+    int n_admitted = 0;
+    auto request = [&](int64_t duration_ms, int64_t pause_us) {
+        int n_refused = 0;
+        int64_t end_ms = base_clock_ms() + duration_ms;
+        while (base_clock_ms() < end_ms) {
+            for (int i = 0; i < 2 * N_OPERATORS; i++) {
+                std::string name = "o" + std::to_string(i / 2);
+                bool is_admitted = control_rate_allow(fleet.at((size_t)i % 2),
+                                                      name.c_str(), 1);
+                n_admitted += is_admitted;
+                n_refused += !is_admitted;
+            }
+            g_usleep(pause_us);
+        }
+        return n_refused;
+    };
+    EXPECT_EQ(request(1000, 200000), 0);
+    BlockedNode blocked(fleet.at(2), &fleet.task.task);
+    EXPECT_EQ(request(1500, 200000), 0);
+    n_admitted = 0;
+    int64_t start_ms = base_clock_ms();
+    EXPECT_GT(request(3000, 15000), 0);
+    double expected = RATE * (double)(base_clock_ms() - start_ms) / 1000;
+    /* A full bucket holds the requests of two seconds. */
+    EXPECT_LE(n_admitted, N_OPERATORS * (expected + 2 * RATE) * 1.1);
+    EXPECT_GE(n_admitted, N_OPERATORS * expected * 0.9);
+}
+
 /* Returns the string value of the first JSON member of that name at or after
  * offset `from`, or "" if there is none. */
 std::string
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -1222,6 +1222,51 @@
   assert(message->base.descriptor == &control__rate_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__rate_notice__init
+                     (Control__RateNotice         *message)
+{
+  static const Control__RateNotice init_value = CONTROL__RATE_NOTICE__INIT;
+  *message = init_value;
+}
+size_t control__rate_notice__get_packed_size
+                     (const Control__RateNotice *message)
+{
+  assert(message->base.descriptor == &control__rate_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__rate_notice__pack
+                     (const Control__RateNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__rate_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__rate_notice__pack_to_buffer
+                     (const Control__RateNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__rate_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__RateNotice *
+       control__rate_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__RateNotice *)
+     protobuf_c_message_unpack (&control__rate_notice__descriptor,
+                                allocator, len, data);
+}
+void   control__rate_notice__free_unpacked
+                     (Control__RateNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__rate_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__prompt_part__init
                      (Control__PromptPart         *message)
 {
@@ -3354,7 +3399,7 @@
   (ProtobufCMessageInit) control__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__rate_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor control__rate_ask__field_descriptors[6] =
 {
   {
     "operator_name",
@@ -3369,12 +3414,60 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "demand_per_s",
-    2,
+    "total",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAsk, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unacknowledged",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Control__RateAsk, demand_per_s),
+    offsetof(Control__RateAsk, unacknowledged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAsk, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAsk, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fraction",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAsk, fraction),
     NULL,
     NULL,
     0,             /* flags */
@@ -3382,13 +3475,18 @@
   },
 };
 static const unsigned control__rate_ask__field_indices_by_name[] = {
-  1,   /* field[1] = demand_per_s */
+  5,   /* field[5] = fraction */
+  4,   /* field[4] = instance */
   0,   /* field[0] = operator_name */
+  3,   /* field[3] = seen */
+  1,   /* field[1] = total */
+  2,   /* field[2] = unacknowledged */
 };
-static const ProtobufCIntRange control__rate_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange control__rate_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 3, 1 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor control__rate_ask__descriptor =
 {
@@ -3398,34 +3496,106 @@
   "Control__RateAsk",
   "control",
   sizeof(Control__RateAsk),
-  2,
+  6,
   control__rate_ask__field_descriptors,
   control__rate_ask__field_indices_by_name,
-  1,  control__rate_ask__number_ranges,
+  2,  control__rate_ask__number_ranges,
   (ProtobufCMessageInit) control__rate_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__rate_answer__field_descriptors[2] =
+static const ProtobufCFieldDescriptor control__rate_answer__field_descriptors[8] =
 {
   {
-    "share_per_s",
-    1,
+    "valid_ms",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Control__RateAnswer, share_per_s),
+    offsetof(Control__RateAnswer, valid_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "valid_ms",
-    2,
+    "credit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, credit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Control__RateAnswer, valid_ms),
+    offsetof(Control__RateAnswer, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_low",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, is_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fraction",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, fraction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, stamp_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limiter",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAnswer, limiter),
     NULL,
     NULL,
     0,             /* flags */
@@ -3433,13 +3603,19 @@
   },
 };
 static const unsigned control__rate_answer__field_indices_by_name[] = {
-  0,   /* field[0] = share_per_s */
-  1,   /* field[1] = valid_ms */
+  1,   /* field[1] = credit */
+  4,   /* field[4] = fraction */
+  3,   /* field[3] = is_low */
+  7,   /* field[7] = limiter */
+  5,   /* field[5] = part */
+  2,   /* field[2] = retry_ms */
+  6,   /* field[6] = stamp_ms */
+  0,   /* field[0] = valid_ms */
 };
 static const ProtobufCIntRange control__rate_answer__number_ranges[1 + 1] =
 {
-  { 1, 0 },
-  { 0, 2 }
+  { 2, 0 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor control__rate_answer__descriptor =
 {
@@ -3449,13 +3625,90 @@
   "Control__RateAnswer",
   "control",
   sizeof(Control__RateAnswer),
-  2,
+  8,
   control__rate_answer__field_descriptors,
   control__rate_answer__field_indices_by_name,
   1,  control__rate_answer__number_ranges,
   (ProtobufCMessageInit) control__rate_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor control__rate_notice__field_descriptors[4] =
+{
+  {
+    "operator_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateNotice, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateNotice, state),
+    &control__rate_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_first",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateNotice, relay_first),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_last",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateNotice, relay_last),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__rate_notice__field_indices_by_name[] = {
+  0,   /* field[0] = operator_name */
+  2,   /* field[2] = relay_first */
+  3,   /* field[3] = relay_last */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange control__rate_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor control__rate_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.RateNotice",
+  "RateNotice",
+  "Control__RateNotice",
+  "control",
+  sizeof(Control__RateNotice),
+  4,
+  control__rate_notice__field_descriptors,
+  control__rate_notice__field_indices_by_name,
+  1,  control__rate_notice__number_ranges,
+  (ProtobufCMessageInit) control__rate_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor control__prompt_part__field_descriptors[6] =
 {
   {
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -42,6 +42,7 @@
 typedef struct Control__Record Control__Record;
 typedef struct Control__RateAsk Control__RateAsk;
 typedef struct Control__RateAnswer Control__RateAnswer;
+typedef struct Control__RateNotice Control__RateNotice;
 typedef struct Control__PromptPart Control__PromptPart;
 typedef struct Control__PromptParts Control__PromptParts;
 
@@ -505,28 +506,74 @@
 
 
 /*
- * Operators' rate limits. 
+ * Operators' rate limits; see packages/allowance.  A RateAsk reports what a
+ * node has admitted to the operator's limiter. 
  */
 struct  Control__RateAsk
 {
   ProtobufCMessage base;
   char *operator_name;
-  double demand_per_s;
+  uint64_t total;
+  uint64_t unacknowledged;
+  uint64_t seen;
+  uint64_t instance;
+  /*
+   * by the last limiter's notice; 0: all requests 
+   */
+  float fraction;
 };
 #define CONTROL__RATE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__rate_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Control__RateAnswer
 {
   ProtobufCMessage base;
-  double share_per_s;
   int64_t valid_ms;
+  float credit;
+  int64_t retry_ms;
+  /*
+   * only the fraction is to be admitted 
+   */
+  protobuf_c_boolean is_low;
+  float fraction;
+  float part;
+  /*
+   * time at the limiter 
+   */
+  int64_t stamp_ms;
+  /*
+   * id of the limiter 
+   */
+  uint64_t limiter;
 };
 #define CONTROL__RATE_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__rate_answer__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A limiter notifies all nodes that its bucket is low, or no longer is. 
+ */
+struct  Control__RateNotice
+{
+  ProtobufCMessage base;
+  char *operator_name;
+  /*
+   * without credit and part 
+   */
+  Control__RateAnswer *state;
+  /*
+   * The receiver forwards the notice to the nodes with names from the first to
+   * the last; empty: to none. 
+   */
+  char *relay_first;
+  char *relay_last;
+};
+#define CONTROL__RATE_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__rate_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1086,6 +1133,25 @@
 void   control__rate_answer__free_unpacked
                      (Control__RateAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Control__RateNotice methods */
+void   control__rate_notice__init
+                     (Control__RateNotice         *message);
+size_t control__rate_notice__get_packed_size
+                     (const Control__RateNotice   *message);
+size_t control__rate_notice__pack
+                     (const Control__RateNotice   *message,
+                      uint8_t             *out);
+size_t control__rate_notice__pack_to_buffer
+                     (const Control__RateNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Control__RateNotice *
+       control__rate_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__rate_notice__free_unpacked
+                     (Control__RateNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Control__PromptPart methods */
 void   control__prompt_part__init
                      (Control__PromptPart         *message);
@@ -1207,6 +1273,9 @@
 typedef void (*Control__RateAnswer_Closure)
                  (const Control__RateAnswer *message,
                   void *closure_data);
+typedef void (*Control__RateNotice_Closure)
+                 (const Control__RateNotice *message,
+                  void *closure_data);
 typedef void (*Control__PromptPart_Closure)
                  (const Control__PromptPart *message,
                   void *closure_data);
@@ -1246,6 +1315,7 @@
 extern const ProtobufCMessageDescriptor control__record__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_ask__descriptor;
 extern const ProtobufCMessageDescriptor control__rate_answer__descriptor;
+extern const ProtobufCMessageDescriptor control__rate_notice__descriptor;
 extern const ProtobufCMessageDescriptor control__prompt_part__descriptor;
 extern const ProtobufCMessageDescriptor control__prompt_parts__descriptor;
 
