Refuse control characters in a client's request target

Cause: http_parser lets a tab and a form feed pass in a target, and the front sent them on. A server that takes them for white space reads another request line than the front did.

The front checks each parsed head by them and answers 400 with the reason in the body; a malformed request got an empty 400 before. Bytes from 0x80 on stay allowed and are sent on unchanged.

Measured: the rows "a tab in the target" and "a form feed in the target" of Http1.ParsesRequestsInPiecesOfAnySize failed before (HTTP1_ENDED).

--- a/packages/base/test_base.cc
+++ b/packages/base/test_base.cc
@@ -8,6 +8,47 @@
 #include <vector>
 
 #include "base/base.h"
+#include "base/http_text.h"
+
+/* What these let pass is written into requests and stored as it is. */
+TEST(HttpText, OnlyStringsThatStayInTheirPlaceAreValid)
+{
+    struct {
+        const char *text;
+        bool is_token, is_target, is_value, is_id, is_storable;
+    } cases[] = {
+        {"", false, false, true, false, true},
+        {"/a?b=%00", false, true, true, true, true},
+        {"x-a", true, true, true, true, true},
+        {"a:", false, true, true, true, true},
+        {"a b", false, false, true, true, true},
+        {" a", false, false, true, false, true},
+        {"a\t", false, false, true, false, true},
+        {"a\r\nb", false, false, false, false, true},
+        {"a\nb", false, false, false, false, true},
+        {"\x7f", false, false, false, false, true},
+        {"caf\xc3\xa9", false, true, true, true, true},
+        {"caf\xe9", false, true, true, true, false},
+        {"\xed\xa0\x80", false, true, true, true, false}, /* a surrogate */
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.text);
+        EXPECT_EQ(base_http_is_token(row.text), row.is_token);
+        EXPECT_EQ(base_http_is_target(row.text), row.is_target);
+        EXPECT_EQ(base_http_is_value(row.text), row.is_value);
+        EXPECT_EQ(base_http_is_id(row.text), row.is_id);
+        EXPECT_EQ(base_text_is_storable(row.text), row.is_storable);
+        json_t *json = json_string(row.text);
+        EXPECT_EQ(json != nullptr, row.is_storable);
+        json_decref(json);
+        json = base_json_text(row.text);
+        EXPECT_EQ(json_is_string(json), true);
+        json_decref(json);
+    }
+    EXPECT_TRUE(base_http_is_hop_header("Transfer-Encoding"));
+    EXPECT_FALSE(base_http_is_hop_header("x-te"));
+}
 
 /* A handle to a removed element stays invalid after its slot is reused. */
 TEST(Table, StaleHandleFindsNoElement)
--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 #include <string.h>
 
+#include "base/http_text.h"
+
 struct http1 {
     const struct http1_ops *ops;
     void *context;
@@ -11,7 +13,8 @@
     GPtrArray *fields;
     bool is_in_value; /* the last header text was a value, not a name */
     bool is_in_head;
-    size_t head_size; /* bytes fed of the current head */
+    size_t head_size;  /* bytes fed of the current head */
+    const char *error; /* why the request is malformed; NULL: http_parser's */
 };
 
 static int
@@ -93,6 +96,26 @@
     return size;
 }
 
+/* Returns why the head cannot be sent on as one request, or NULL if it can.
+ * http_parser lets tabs and form feeds pass in a target. */
+static const char *
+find_head_error(const struct http1 *http1)
+{
+    const GPtrArray *fields = http1->fields;
+
+    if (!base_http_is_target(http1->target->str)) {
+        return "a space or a control character in the request target";
+    }
+    for (guint i = 0; i < fields->len; i++) {
+        const char *text = fields->pdata[i];
+        if (i % 2 == 0 ? !base_http_is_token(text)
+                       : !base_http_is_value(text)) {
+            return "a character that is not allowed in a header";
+        }
+    }
+    return NULL;
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -100,6 +123,11 @@
     size_t size = measure_head(http1, http_method_str(parser->method));
     bool has_length = parser->content_length != UINT64_MAX &&
                       parser->content_length <= INT64_MAX;
+
+    http1->error = find_head_error(http1);
+    if (http1->error != NULL) {
+        return -1;
+    }
     struct http1_head head = {
         .method = http_method_str(parser->method),
         .target = http1->target->str,
@@ -172,6 +200,15 @@
     g_free(http1);
 }
 
+/* Returns why the last call of http1_feed returned HTTP1_BAD. */
+const char *
+http1_error(const struct http1 *http1)
+{
+    return http1->error != NULL
+               ? http1->error
+               : http_errno_description(HTTP_PARSER_ERRNO(&http1->parser));
+}
+
 /* Parses the next bytes and calls the ops; *used receives the number of bytes
  * parsed. */
 enum http1_result
@@ -193,7 +230,7 @@
         return HTTP1_HEAD_TOO_LARGE;
     default:
         base_log(BASE_LOG_INFO, "front.bad_request", "error=\"%s\"",
-                 http_errno_description(error));
+                 http1_error(http1));
         return HTTP1_BAD;
     }
 }
--- a/packages/front/http1.h
+++ b/packages/front/http1.h
@@ -47,6 +47,7 @@
 void http1_free(struct http1 *http1);
 enum http1_result http1_feed(struct http1 *http1, const char *data,
                              size_t size, size_t *used);
+const char *http1_error(const struct http1 *http1);
 void http1_next(struct http1 *http1);
 bool http1_is_paused(const struct http1 *http1);
 size_t http1_head_size(const struct http1 *http1);
--- a/packages/front/raw_connection.c
+++ b/packages/front/raw_connection.c
@@ -17,7 +17,7 @@
      * reading stops. */
     MAX_PIPELINED_BYTES = 65536,
     RESPONSE_HEAD_SIZE = 1024,     /* allocated at first; grows if needed */
-    REJECTION_SIZE = 256,          /* buffer of write_rejection */
+    REJECTION_SIZE = 512,          /* buffer of write_rejection */
     LIBRARY_TIMEOUT_S = 24 * 3600, /* libwebsockets' own network timeout */
 };
 
@@ -166,6 +166,21 @@
     write_rejection(raw, text);
 }
 
+/* Answers 400 with the reason to a request that cannot be parsed. */
+static void
+reject_malformed(struct front_raw_connection *raw)
+{
+    char *json = front_fault_json(&FRONT_BAD_REQUEST, http1_error(raw->http1));
+    char text[REJECTION_SIZE];
+
+    g_snprintf(text, sizeof(text),
+               "HTTP/1.1 400 Bad Request\r\ncontent-type: application/json"
+               "\r\ncontent-length: %zu\r\nconnection: close\r\n\r\n%s",
+               strlen(json), json);
+    free(json);
+    write_rejection(raw, text);
+}
+
 /* Parses received bytes; those after the end of a request are buffered.
  * Returns false when the connection must be closed. */
 static bool
@@ -184,9 +199,12 @@
         if (raw->connection.request != NULL) {
             return false;
         }
-        reject_head(raw, result == HTTP1_BAD
-                             ? "400 Bad Request"
-                             : "431 Request Header Fields Too Large");
+        if (result == HTTP1_BAD) {
+            reject_malformed(raw);
+        }
+        else {
+            reject_head(raw, "431 Request Header Fields Too Large");
+        }
         return true;
     case HTTP1_MORE:
         break;
--- a/packages/front/test_http1.cc
+++ b/packages/front/test_http1.cc
@@ -95,6 +95,12 @@
         {"two different lengths",
          "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
          "", HTTP1_BAD},
+        {"bytes from 0x80 on",
+         "GET /caf\xe9?\xff HTTP/1.1\r\nA: caf\xe9\r\n\r\n",
+         "<GET /caf\xe9?\xff A=caf\xe9>;", HTTP1_ENDED},
+        {"a tab in the target", "GET /a\tb HTTP/1.1\r\n\r\n", "", HTTP1_BAD},
+        {"a form feed in the target", "GET /a?\f HTTP/1.1\r\n\r\n", "",
+         HTTP1_BAD},
         {"no request", "\x16\x03\x01", "", HTTP1_BAD},
     };
 
