Refuse jobs whose id, host or path cannot be stored

Cause: jobs_head_encode used the NULL that json_pack returns for a string that is not UTF-8. A submission at /sheets/caf\xe9 ended the front's process and that of the job's home with SIGSEGV. An id with such a byte left the head out of the write that accepts the job; one with a '/' put records among those of another job; one of more than 79 bytes was cut short.

Change: the front answers 400 before the job is decoded or stored, and jobs_submit checks again, also what peers forward.

Measured: Jobs.AJobThatCannotBeStoredIsRefused ended with SIGSEGV before, and passes.

--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/http_text.h"
+
 /* Selects the handler of a request on a site: one of the protocol's calls, the
  * node's metrics page, or the route with the request's host and path. */
 
@@ -62,11 +64,36 @@
     return false;
 }
 
+/* Refuses a submission whose id, host or path cannot be stored.  The id is
+ * that of the caller's header, which request->id may have cut short.  Returns
+ * whether it was refused. */
+static bool
+refuse_unstorable_job(struct front_request *request)
+{
+    const char *id =
+        front_request_header(request, request->front->protocol->request_id);
+    const char *host = front_request_header(request, "host");
+    struct base_error err = {0};
+
+    if (jobs_can_store(id != NULL && id[0] != '\0' ? id : request->id, host,
+                       request->path, &err)) {
+        return false;
+    }
+    front_fail(request, &FRONT_BAD_REQUEST, "%s", err.text);
+    return true;
+}
+
 /* Returns the route of a call about a job; on an error the request has been
- * answered and the result is ANSWERED. */
+ * answered and the result is ANSWERED.  An id that ends before the path does
+ * was cut short and could be that of another job. */
 static const struct front_route *
-find_job_call(struct front_request *request)
+find_job_call(struct front_request *request, const char *id)
 {
+    if (!base_text_is_storable(id) || !g_str_has_suffix(request->path, id)) {
+        front_fail(request, &FRONT_BAD_REQUEST,
+                   "the job's id is too long or is not UTF-8");
+        return &ANSWERED;
+    }
     if (request->world == NULL) {
         front_fail(request, &FRONT_NOT_READY,
                    "this node has no configuration yet");
@@ -117,8 +144,10 @@
                    "jobs are submitted with POST");
         return &ANSWERED;
     }
-    return refuse_if_stopping(request, job_call_end_ms(request)) ? &ANSWERED
-                                                                 : &JOB_SUBMIT;
+    return refuse_unstorable_job(request) ||
+                   refuse_if_stopping(request, job_call_end_ms(request))
+               ? &ANSWERED
+               : &JOB_SUBMIT;
 }
 
 /* Returns the route whose handler serves a request.  On a failure the request
@@ -135,7 +164,7 @@
     case FRONT_CALL_JOB_RESULTS:
     case FRONT_CALL_JOB_INPUT:
     case FRONT_CALL_JOB_END:
-        return find_job_call(request);
+        return find_job_call(request, id);
     case FRONT_CALL_NONE:
         break;
     }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -310,6 +310,45 @@
     }
 }
 
+/* The head and the keys of a job are stored as JSON, which can't hold every
+ * byte that a head may have; a '/' in the id would put the job's records among
+ * those of another job. */
+TEST_F(Ingress, RefusesJobsThatCannotBeStored)
+{
+    struct test_server engine(serve_stream);
+    kind = WORLD_INGRESS_BATCH;
+    begin({&engine});
+    const std::string rest = " HTTP/1.1\r\nhost: h.example\r\n"
+                             "content-length: 1\r\nx-id: ";
+    for (const std::string &head :
+         {"POST /a/caf\xe9" + rest + "q", "POST /a/x" + rest + "q\xe9",
+          "POST /a/x" + rest + "q/r",
+          "POST /a/x" + rest + std::string(80, 'q')}) {
+        SCOPED_TRACE(head);
+        struct answer answer = ask(head + "\r\n\r\nx");
+        EXPECT_EQ(answer.status, 400);
+        EXPECT_NE(answer.body.find("cannot be stored"), std::string::npos);
+    }
+}
+
+/* Bytes from 0x80 on are no fault of a request that is only sent on. */
+TEST_F(Ingress, ForwardsOddBytesUnchangedAndRefusesThoseThatSplitARequest)
+{
+    struct test_server engine(serve_stream);
+    begin({&engine});
+    EXPECT_EQ(ask(post("/a/caf\xe9?\xff", "", "x-a: \xe9\tb\r\n")).status,
+              200);
+    ASSERT_EQ(engine.requests().size(), 1u);
+    EXPECT_EQ(
+        engine.requests()[0].rfind("POST /a/caf\xe9?\xff HTTP/1.1\r\n", 0),
+        0u);
+    EXPECT_EQ(test_header(engine.requests()[0], "x-a"), "\xe9\tb");
+    struct answer answer = ask(post("/a/x\ty", ""));
+    EXPECT_EQ(answer.status, 400);
+    EXPECT_NE(answer.body.find("in the request target"), std::string::npos);
+    EXPECT_EQ(engine.requests().size(), 1u);
+}
+
 TEST_F(Ingress, RespondsWith503WithoutConfiguration)
 {
     begin({});
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -59,6 +59,10 @@
 void jobs_job_free(struct jobs_job *job);
 struct jobs_item *jobs_job_add(struct jobs_job *job);
 
+bool jobs_is_valid_id(const char *id);
+bool jobs_can_store(const char *id, const char *host, const char *path,
+                    struct base_error *err);
+
 enum jobs_op {
     JOBS_SUBMIT,
     JOBS_RESULTS, /* reads results from position `after` on */
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <zstd.h>
 
+#include "base/http_text.h"
+
 enum {
     MIN_PIECE_BYTES = 1024, /* above the overhead of a result */
     MIN_PART_BYTES = 512,   /* a text is not split for less room in a piece */
@@ -50,9 +52,10 @@
     to->listed = g_array_copy(from->listed);
 }
 
-/* Encodes a head for storage; the caller owns the bytes.  In the list "listed"
- * item N is stored as N when it is completed, and as -1 - N when it was given
- * up. */
+/* Encodes a head for storage; the caller owns the bytes.  Texts that cannot be
+ * stored are refused before (jobs_can_store); here they must only not crash.
+ * In the list "listed" item N is stored as N when it is completed, and as
+ * -1 - N when it was given up. */
 GBytes *
 jobs_head_encode(const struct jobs_head *head)
 {
@@ -73,13 +76,14 @@
             listed, json_integer(at->is_completed ? at->item : -1 - at->item));
     }
     root = json_pack(
-        "{s:i,s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:b,s:i,s:i,s:o,s:o}", "format", 1,
-        "host", head->host, "path", head->path, "route", head->route, "region",
-        head->region != NULL ? head->region : "", "submitted_ms",
-        (json_int_t)head->submitted_ms, "runner", head->runner, "epoch",
-        (json_int_t)head->epoch, "ended", head->is_ended, "input_pieces",
-        head->n_input_pieces, "result_pieces", head->n_result_pieces, "tokens",
-        tokens, "listed", listed);
+        "{s:i,s:o,s:o,s:o,s:o,s:I,s:o,s:I,s:b,s:i,s:i,s:o,s:o}", "format", 1,
+        "host", base_json_text(head->host), "path", base_json_text(head->path),
+        "route", base_json_text(head->route), "region",
+        base_json_text(head->region), "submitted_ms",
+        (json_int_t)head->submitted_ms, "runner", base_json_text(head->runner),
+        "epoch", (json_int_t)head->epoch, "ended", head->is_ended,
+        "input_pieces", head->n_input_pieces, "result_pieces",
+        head->n_result_pieces, "tokens", tokens, "listed", listed);
     text = json_dumps(root, JSON_COMPACT);
     bytes = g_bytes_new(text, strlen(text));
     free(text);
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -323,6 +323,13 @@
         jobs_find_route(jobs, request->job->host, request->job->path);
     int home = jobs_find_home(jobs, own_region(jobs), request->id, WORLD_NONE);
 
+    if (!jobs_can_store(request->id, request->job->host, request->job->path,
+                        &request->err)) {
+        base_log_error("jobs.bad_call", &request->err, "from_peer=%d",
+                       request->is_from_peer);
+        jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
+        return;
+    }
     if (route == NULL || route->kind != WORLD_INGRESS_BATCH) {
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -678,14 +678,15 @@
     /* Submits until the job is not refused, since a node accepts jobs only
      * once it has its lease. */
     enum jobs_status
-    submit(const char *id, const std::string &items)
+    submit(const char *id, const std::string &items, const char *host = "h",
+           const char *path = "/b/x")
     {
         enum jobs_status status = JOBS_REFUSED;
         for (int i = 0; i < 200 && status == JOBS_REFUSED; i++) {
             struct jobs_request *request = jobs_request_new(JOBS_SUBMIT, id);
             request->job = decode(id, items.data(), items.size(), nullptr);
-            request->job->host = g_strdup("h");
-            request->job->path = g_strdup("/b/x");
+            request->job->host = g_strdup(host);
+            request->job->path = g_strdup(path);
             status = call(request);
             g_usleep(status == JOBS_REFUSED ? 10000 : 0);
         }
@@ -777,6 +778,23 @@
     EXPECT_TRUE(site.store.held.empty());
 }
 
+/* One byte that is not UTF-8 made jansson return NULL for the job's head,
+ * which ended the front and the job's home; in an id it left the head out of
+ * the write that accepts the job. */
+TEST(Jobs, AJobThatCannotBeStoredIsRefused)
+{
+    Site site;
+    Node node(site, "n1");
+
+    ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+    EXPECT_EQ(node.submit("k", "a", "h", "/b/caf\xe9"), JOBS_NOT_ALLOWED);
+    EXPECT_EQ(node.submit("k", "a", "h", "/b/a b"), JOBS_NOT_ALLOWED);
+    EXPECT_EQ(node.submit("k\xe9", "a"), JOBS_NOT_ALLOWED);
+    EXPECT_EQ(node.submit("j/r", "a"), JOBS_NOT_ALLOWED);
+    EXPECT_EQ(site.store.records.count(JOBS_HEAD_PREFIX "k"), 0u);
+    EXPECT_EQ(node.wait_for("j", 1).size(), 1u);
+}
+
 /* A client that got no reply submits again, to the same or another node. */
 TEST(Jobs, AResubmittedJobIsAcceptedOnce)
 {
