Refuse items of jobs that are not one request

Cause: an item's path, id and headers were copied from JSON into the request to its server without a check. With CR LF in them, or with a header transfer-encoding, a server could read several requests.

--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "backends/backends_private.h"
+#include "base/http_text.h"
 
 enum {
     /* libwebsockets' own time limits would end long requests, so they are set
@@ -111,6 +112,30 @@
     }
 }
 
+/* Returns which part of a request would not be sent as it is, and so could be
+ * read as another header or request; NULL: none. */
+static const char *
+find_invalid_part(const struct backends_request *request)
+{
+    if (!base_http_is_token(request->method) ||
+        !base_http_is_target(request->path)) {
+        return "method or path";
+    }
+    if ((request->host_header != NULL &&
+         !base_http_is_value(request->host_header)) ||
+        (request->content_type != NULL &&
+         !base_http_is_value(request->content_type))) {
+        return "host or content type";
+    }
+    for (const char *const *pair = request->headers;
+         pair != NULL && *pair != NULL; pair += 2) {
+        if (!base_http_is_token(pair[0]) || !base_http_is_value(pair[1])) {
+            return "header";
+        }
+    }
+    return NULL;
+}
+
 /* Starts a call.  The request is copied, so it may be freed after return.
  * Fails with BASE_INVALID; `done` is not called then. */
 struct base_handle
@@ -120,6 +145,7 @@
     struct base_handle none = {0, 0};
     struct base_handle handle;
     struct backends_call *call;
+    const char *part;
 
     if (request->host == NULL || request->port <= 0 ||
         request->method == NULL || request->path == NULL ||
@@ -129,6 +155,13 @@
                        "must be set");
         return none;
     }
+    part = find_invalid_part(request);
+    if (part != NULL) {
+        base_error_set(err, BASE_INVALID,
+                       "the request's %s has a character that is not allowed",
+                       part);
+        return none;
+    }
     call = backends_call_new(backends, request);
     handle = call->handle;
     backends_call_enter(call, BACKENDS_CONNECTING);
--- a/packages/batch/lines.c
+++ b/packages/batch/lines.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum { INITIAL_ID_SLOTS = 1024 };
 
 /* ---- one line ---- */
@@ -41,10 +43,12 @@
                        BATCH_CUSTOM_ID_MAX);
         return false;
     }
-    if (line->url == NULL || !is_item_url(line->url)) {
+    if (line->url == NULL || !is_item_url(line->url) ||
+        !base_http_is_target(line->url)) {
         base_error_set(err, BASE_INVALID,
                        "url must be /v1/chat/completions, /v1/completions or "
-                       "/services/<name>/...");
+                       "/services/<name>/..., without spaces and control "
+                       "characters");
         return false;
     }
     if (line->method == NULL || !is_method(line->method)) {
--- a/packages/batch/test_batch.cc
+++ b/packages/batch/test_batch.cc
@@ -436,6 +436,9 @@
         {good + "{\"custom_id\":\"c\",\"method\":\"GET\",\"url\":"
                 "\"/v1/completions\"}\n",
          "line 3: method must be POST"},
+        {good + "{\"custom_id\":\"c\",\"method\":\"GET\",\"url\":"
+                "\"/services/s/ HTTP/1.1\\r\\n\"}\n",
+         "line 3: url must be"},
         {good + model_line("c").substr(0, 40), "line 3: not a JSON object"},
         {"\n\n", "the file has no items"},
         {good + std::string(5 << 20, 'x'), "line 3: longer than 4194304"},
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum {
     FIRST_BYTE_TIMEOUT_MS = 5000, /* engines may delay the response head */
     STREAM_SILENCE_MS = 3000,     /* longest pause within a stream */
@@ -154,6 +156,10 @@
     if (work->is_preempted) {
         delay_retry(work, 0);
     }
+    else if (result->err.code == BASE_INVALID) {
+        /* Its path or a header cannot be sent, at any server. */
+        jobs_run_item_done(work->run, work, false);
+    }
     else if (result->verdict == BASE_NOT_RUN) {
         work->n_refusals++;
         delay_retry(work, REFUSED_RETRY_MS *
@@ -298,7 +304,7 @@
             return true;
         }
     }
-    return false;
+    return base_http_is_hop_header(name);
 }
 
 static void
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1,15 +1,19 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <cstring>
 #include <map>
 #include <mutex>
+#include <random>
+#include <regex>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "adapter.h"
 #include "backends/test_server.h"
 #include "jobs/home.h"
 #include "jobs/jobs.h"
@@ -507,6 +511,7 @@
     struct base_counters counters;
     int64_t limit = 0;
     int64_t known_value_bytes = 1 << 20; /* limit of a value, to the nodes */
+    decltype(&decode) decode_job = decode;
 
     explicit Site(test_server::script script = serve, int64_t limit = 0)
         : engine(script), limit(limit)
@@ -612,7 +617,7 @@
         desc.platform = (struct platform *)&link;
         desc.names = {"x-id", "x-server", "last-id",  "x-refused",
                       421,    "x-limit",  "x-leaving"};
-        desc.decode = decode;
+        desc.decode = site.decode_job;
         desc.lease_ms = 600;
         desc.life = (int64_t)member().life;
         desc.rpc_address =
@@ -684,7 +689,8 @@
         enum jobs_status status = JOBS_REFUSED;
         for (int i = 0; i < 200 && status == JOBS_REFUSED; i++) {
             struct jobs_request *request = jobs_request_new(JOBS_SUBMIT, id);
-            request->job = decode(id, items.data(), items.size(), nullptr);
+            request->job =
+                site.decode_job(id, items.data(), items.size(), nullptr);
             request->job->host = g_strdup(host);
             request->job->path = g_strdup(path);
             status = call(request);
@@ -2022,4 +2028,169 @@
     }
 }
 
+/* ---- hostile items ---- */
+
+std::mt19937 draws(20261206);
+
+size_t
+draw(size_t n)
+{
+    return draws() % n;
+}
+
+/* Draws a text, now and then one that would end a path or a header, begin a
+ * request or be too long. */
+std::string
+draw_text(const std::string &begin)
+{
+    static const char *const PARTS[] = {
+        "a",
+        "x-y",
+        "/",
+        "?q=%0d%0a",
+        "\xc3\xa9",
+        "\\ud83d\\ude00",
+        "~!#",
+        "=",
+        "%00",
+        "b",
+        "chunked",
+        "0",
+        "\\\"",
+        "\\\\",
+        "\\r\\n",
+        "\\n",
+        "\\r\\nx: y\\r\\n\\r\\nGET /evil HTTP/1.1\\r\\n\\r\\n",
+        "\\u0000",
+        "\xe9",
+        "\\ud800",
+        " ",
+        "\\t",
+        "\\u007f",
+        "\\u000b",
+        ": "};
+    std::string text = begin;
+    size_t n_safe = 14;
+    bool is_hostile = draw(6) == 0;
+
+    for (size_t n = draw(5); n > 0; n--) {
+        text += PARTS[draw(is_hostile ? G_N_ELEMENTS(PARTS) : n_safe)];
+    }
+    return draw(100) == 0 ? text + std::string(40000, 'l') : text;
+}
+
+std::string
+draw_item(int number)
+{
+    static const char *const NAMES[] = {"x-a",
+                                        "Transfer-Encoding",
+                                        "content-length",
+                                        "connection",
+                                        "Host",
+                                        "x-id",
+                                        "expect",
+                                        "content-type"};
+    std::string headers;
+
+    for (size_t i = 0, n = draw(4); i < n; i++) {
+        std::string name = draw(4) == 0 ? draw_text("h") : NAMES[draw(8)];
+        headers += (i > 0 ? "," : "") + ("\"" + name) + "\":\"" +
+                   (draw(2) == 0 ? "chunked" : draw_text("")) + "\"";
+    }
+    return "{\"id\":\"" + draw_text(std::to_string(number) + "-") +
+           "\",\"path\":\"" + draw_text("/") + "\",\"headers\":{" + headers +
+           "},\"body\":\"MA0KDQpHRVQgL2V2aWwgSFRUUC8xLjENCg0K\",\"tokens\":5}";
+}
+
+/* Returns whether the bytes are one POST with one length and the body of
+ * draw_item: "0", an empty line and a request. */
+bool
+is_one_request(const std::string &bytes)
+{
+    const std::string body = "0\r\n\r\nGET /evil HTTP/1.1\r\n\r\n";
+    size_t end = bytes.find("\r\n\r\n");
+    std::string head = bytes.substr(0, end + 2);
+    static const std::regex WHOLE(
+        "POST /[^\\x00-\\x20\\x7f]* HTTP/1\\.1\r\n"
+        "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\r\n)+");
+    static const std::regex LENGTH(
+        "content-length:|transfer-encoding:|expect:", std::regex::icase);
+
+    return end != std::string::npos && bytes.substr(end + 4) == body &&
+           std::regex_match(head, WHOLE) &&
+           std::distance(
+               std::sregex_iterator(head.begin(), head.end(), LENGTH),
+               std::sregex_iterator()) == 1;
+}
+
+/* An item with a line break in its path or a header was sent as several
+ * requests, and one with transfer-encoding as two to a server that prefers it
+ * to the length. */
+TEST(Jobs, AThousandHostileItemsAreOneRequestEachOrRefused)
+{
+    Site site;
+    site.decode_job = adapter_protocol.decode_job;
+    Node node(site, "n1");
+    std::vector<std::string> accepted;
+    int n_refused = 0;
+
+    for (int i = 0; i < 1000; i++) {
+        std::string text = draw_item(i);
+        std::string job = "{\"items\":[" + text + "]}";
+        struct base_error err = {};
+        struct jobs_job *decoded =
+            site.decode_job("j", job.data(), job.size(), &err);
+        if (decoded != nullptr) {
+            accepted.push_back(text);
+            jobs_job_free(decoded);
+            continue;
+        }
+        EXPECT_NE(err.text[0], '\0');
+        n_refused++;
+    }
+    EXPECT_GT(n_refused, 100);
+    EXPECT_GT(accepted.size(), 300u);
+    size_t n_sent = 0;
+    for (size_t from = 0; from < accepted.size(); from += 200) {
+        std::string job = "{\"items\":[" + accepted[from];
+        size_t n = std::min<size_t>(200, accepted.size() - from);
+        for (size_t i = 1; i < n; i++) {
+            job += "," + accepted[from + i];
+        }
+        std::string id = "j" + std::to_string(from);
+        ASSERT_EQ(node.submit(id.c_str(), job + "]}"), JOBS_OK);
+        for (const std::string &result : node.wait_for(id.c_str(), n)) {
+            EXPECT_EQ(result.substr(result.size() - strlen(COMPLETE_OUTPUT)),
+                      COMPLETE_OUTPUT);
+            n_sent++;
+        }
+    }
+    EXPECT_EQ(n_sent, accepted.size());
+    EXPECT_EQ(site.engine.requests().size(), accepted.size());
+    for (const std::string &request : site.engine.requests()) {
+        EXPECT_TRUE(is_one_request(request)) << request;
+    }
+}
+
+/* An item whose head does not fit into the buffer for sending would be tried
+ * without end, so the limit must be one that fits. */
+TEST(Jobs, AnItemWithTheLargestHeadIsSent)
+{
+    Site site;
+    site.decode_job = adapter_protocol.decode_job;
+    Node node(site, "n1");
+    std::string path(JOBS_MAX_HEAD_BYTES, 'p');
+    path[0] = '/';
+
+    ASSERT_EQ(
+        node.submit("j", R"({"items":[{"id":"a","path":")" + path +
+                             R"("},{"id":"b","path":"/","headers":{"x":")" +
+                             path.substr(10) + R"("}}]})"),
+        JOBS_OK);
+    EXPECT_EQ(node.wait_for("j", 2).size(), 2u);
+    path = R"({"items":[{"id":"a","path":")" + path + R"(p"}]})";
+    EXPECT_EQ(site.decode_job("j", path.data(), path.size(), nullptr),
+              nullptr);
+}
+
 } // namespace
