Drop trailers of chunked requests

Cause: http_parser reports trailers by the callbacks for headers. By then the head's list of headers belongs to the request, and http1 appended to NULL: a chunked request with a trailer ended the front's process.

Change: names and values are taken only while the head is parsed.

--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -61,6 +61,9 @@
 {
     struct http1 *http1 = parser->data;
 
+    if (!http1->is_in_head) {
+        return 0; /* a trailer; nothing here uses them */
+    }
     if (http1->is_in_value) {
         http1->is_in_value = false;
         g_ptr_array_add(http1->fields, g_strdup(""));
@@ -74,6 +77,9 @@
 {
     struct http1 *http1 = parser->data;
 
+    if (!http1->is_in_head) {
+        return 0;
+    }
     if (!http1->is_in_value) {
         http1->is_in_value = true;
         g_ptr_array_add(http1->fields, g_strdup(""));
--- a/packages/front/test_http1.cc
+++ b/packages/front/test_http1.cc
@@ -82,6 +82,11 @@
          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
          "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n",
          "<POST /a Transfer-Encoding=chunked chunked>xyz;", HTTP1_ENDED},
+        {"chunks with a trailer, which is dropped",
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nx\r\n0\r\nB: c\r\n\r\nGET /b HTTP/1.1\r\nD: e\r\n\r\n",
+         "<POST /a Transfer-Encoding=chunked chunked>x;<GET /b D=e>;",
+         HTTP1_ENDED},
         {"two on one connection",
          "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /b "
          "HTTP/1.1\r\n\r\n",
