Check the numbers of a stored job's head

Cause: an index in the list of results was cut to 32 bits before it was compared with the number of items, so that 2^31 became a negative index into the tokens; tokens were summed without a limit.

Change: indexes are compared before they are cut, tokens are limited to the range that submissions have, and the sum of waiting tokens is never negative.

--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -100,15 +100,17 @@
 
     for (int i = 0; i < n_items; i++) {
         int64_t value = json_integer_value(json_array_get(tokens, (size_t)i));
+        value = CLAMP(value, 0, JOBS_MAX_TOKENS);
         g_array_append_val(head->tokens, value);
     }
     for (size_t i = 0; i < json_array_size(listed); i++) {
         int64_t value = json_integer_value(json_array_get(listed, i));
+        int64_t item = value >= 0 ? value : -1 - value;
         struct jobs_listed at = {
-            .item = (int)(value >= 0 ? value : -1 - value),
+            .item = (int)item,
             .is_completed = value >= 0,
         };
-        if (at.item >= n_items) {
+        if (item >= n_items) {
             return false;
         }
         g_array_append_val(head->listed, at);
@@ -188,7 +190,7 @@
             head->tokens, int64_t,
             g_array_index(head->listed, struct jobs_listed, i).item);
     }
-    return sum;
+    return MAX(sum, 0); /* an item may be listed twice */
 }
 
 /* Returns the key of a job's head; the caller frees it. */
