Make JSON of strings from outside without NULL

Cause: jansson returns NULL for a string that is not UTF-8, and callers used the result: GET /services/%e9/x ended the front's process in front_fail, and a finish reason that was cut within a character did so in the chat handler. In other places the error or the entry was lost.

Change: these places use base_json_text. Writes with a key that is not UTF-8 are rejected by the platform task, since a dialect would leave them out.

Measured: the new row of Requests.InvalidRequestsAreRefusedWithTheirError ended the test's process before, and passes; batch, config, control, deploy, platform, adapter and backends tests pass.

--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -121,7 +121,8 @@
         !base_http_is_target(request->path)) {
         return "method or path";
     }
-    if ((request->host_header != NULL &&
+    if (!base_http_is_value(request->host) ||
+        (request->host_header != NULL &&
          !base_http_is_value(request->host_header)) ||
         (request->content_type != NULL &&
          !base_http_is_value(request->content_type))) {
--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum { STOP_WAIT_MS = 8000, STOP_POLL_US = 2000 };
 
 /* ---- replies ---- */
@@ -45,8 +47,8 @@
     g_vsnprintf(text, sizeof(text), format, arguments);
     va_end(arguments);
     send_reply(request, status, verdict,
-               json_pack("{s:{s:s, s:s, s:s}}", "error", "message", text,
-                         "type", type, "code", code));
+               json_pack("{s:{s:o, s:s, s:s}}", "error", "message",
+                         base_json_text(text), "type", type, "code", code));
 }
 
 /* Replies to a request whose call to the key-value service failed.  After a
--- a/packages/batch/jobs.c
+++ b/packages/batch/jobs.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum { MAX_LISTED_JOBS = 100 };
 
 /* ---- job lookup ---- */
@@ -227,9 +229,9 @@
     json_object_set_new(object, "metadata",
                         metadata == NULL ? json_null() : metadata);
     json_object_set_new(object, "at_risk", json_boolean(is_at_risk(view)));
-    json_object_set_new(object, "errors",
-                        job->stop_text == NULL ? json_null()
-                                               : json_string(job->stop_text));
+    json_object_set_new(
+        object, "errors",
+        job->stop_text == NULL ? json_null() : base_json_text(job->stop_text));
     set_times(object, job);
     g_free(window);
     return object;
--- a/packages/batch/records.c
+++ b/packages/batch/records.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum { RECORD_VERSION = 1, BITS_PER_BYTE = 8 };
 
 /* ---- bitmaps ---- */
@@ -87,7 +89,7 @@
 set_text(json_t *object, const char *name, const char *text)
 {
     if (text != NULL) {
-        json_object_set_new(object, name, json_string(text));
+        json_object_set_new(object, name, base_json_text(text));
     }
 }
 
@@ -106,9 +108,10 @@
         const struct batch_piece *piece =
             &g_array_index(pieces, struct batch_piece, i);
         json_array_append_new(
-            list, json_pack("[sIiss]", piece->chunk.name,
+            list, json_pack("[oIioo]", base_json_text(piece->chunk.name),
                             (json_int_t)piece->chunk.size, piece->items,
-                            piece->chunk.holders[0], piece->chunk.holders[1]));
+                            base_json_text(piece->chunk.holders[0]),
+                            base_json_text(piece->chunk.holders[1])));
     }
     return list;
 }
--- a/packages/batch/shard_run.c
+++ b/packages/batch/shard_run.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum {
     MAX_READY_ITEMS = 2048,    /* parsed items of a shard that may be sent */
     MAX_LINES_PER_TICK = 1024, /* lines parsed per tick and shard */
@@ -159,15 +161,16 @@
             json_t *response, const char *code, const char *text)
 {
     char *id = g_strdup_printf("%s-%d", run->job.id, run->first_item + index);
-    json_t *line =
-        json_pack("{s:s, s:s, s:o}", "id", id, "custom_id", custom_id,
-                  "response", response == NULL ? json_null() : response);
+    json_t *line = json_pack("{s:s, s:o, s:o}", "id", id, "custom_id",
+                             base_json_text(custom_id), "response",
+                             response == NULL ? json_null() : response);
     char *dump;
 
-    json_object_set_new(
-        line, "error",
-        code == NULL ? json_null()
-                     : json_pack("{s:s, s:s}", "code", code, "message", text));
+    json_object_set_new(line, "error",
+                        code == NULL
+                            ? json_null()
+                            : json_pack("{s:s, s:o}", "code", code, "message",
+                                        base_json_text(text)));
     dump = json_dumps(line, JSON_COMPACT);
     json_decref(line);
     g_free(id);
--- a/packages/config/record.c
+++ b/packages/config/record.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/http_text.h"
 #include "config/config.h"
 
 enum { RECORD_FORMAT = 1 };
@@ -64,15 +65,17 @@
 config_record_format(const struct config_record *record)
 {
     json_t *root = json_pack(
-        "{s:i, s:I, s:s, s:I, s:I, s:s}", "format", RECORD_FORMAT, "number",
-        (json_int_t)record->number, "author", record->author, "time_ms",
-        (json_int_t)record->time_ms, "base", (json_int_t)record->base,
-        "document", record->document);
+        "{s:i, s:I, s:o, s:I, s:I, s:o}", "format", RECORD_FORMAT, "number",
+        (json_int_t)record->number, "author", base_json_text(record->author),
+        "time_ms", (json_int_t)record->time_ms, "base",
+        (json_int_t)record->base, "document",
+        base_json_text(record->document));
 
     if (*record->from_environment != '\0') {
         json_object_set_new(root, "from",
-                            json_pack("{s:s, s:I}", "environment",
-                                      record->from_environment, "number",
+                            json_pack("{s:o, s:I}", "environment",
+                                      base_json_text(record->from_environment),
+                                      "number",
                                       (json_int_t)record->from_number));
     }
     char *dumped = json_dumps(root, JSON_COMPACT);
--- a/packages/config/reply.c
+++ b/packages/config/reply.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "base/http_text.h"
 #include "config/operation.h"
 
 static void
@@ -34,8 +35,9 @@
     char *message = g_strdup_vprintf(format, args);
     va_end(args);
     set_json_object(request, status,
-                    json_pack("{s:{s:s, s:s}}", "error", "code",
-                              base_code_name(code), "message", message));
+                    json_pack("{s:{s:s, s:o}}", "error", "code",
+                              base_code_name(code), "message",
+                              base_json_text(message)));
     g_free(message);
 }
 
@@ -90,10 +92,11 @@
 
     request->verdict = BASE_NOT_RUN;
     set_json_object(request, 409,
-                    json_pack("{s:{s:s, s:s, s:I, s:s, s:I}}", "error", "code",
+                    json_pack("{s:{s:s, s:o, s:I, s:o, s:I}}", "error", "code",
                               base_code_name(BASE_CONFLICT), "message",
-                              message, "number", (json_int_t)record->number,
-                              "author", record->author, "time_ms",
+                              base_json_text(message), "number",
+                              (json_int_t)record->number, "author",
+                              base_json_text(record->author), "time_ms",
                               (json_int_t)record->time_ms));
     g_free(message);
 }
@@ -123,8 +126,9 @@
     for (guint i = 0; i < problems->all->len; i++) {
         const struct world_problem *problem = problems->all->pdata[i];
         json_array_append_new(list,
-                              json_pack("{s:s, s:s}", "path", problem->path,
-                                        "text", problem->text));
+                              json_pack("{s:o, s:o}", "path",
+                                        base_json_text(problem->path), "text",
+                                        base_json_text(problem->text)));
     }
     set_json_object(request, 400,
                     json_pack("{s:{s:s, s:s, s:o}}", "error", "code",
--- a/packages/control/status.c
+++ b/packages/control/status.c
@@ -2,6 +2,8 @@
 
 #include <jansson.h>
 
+#include "base/http_text.h"
+
 static const char *
 state_name(enum members_state state)
 {
@@ -18,9 +20,11 @@
     for (int i = 0; i < view->n_nodes; i++) {
         const struct members_node *node = &view->nodes[i];
         json_t *object = json_pack(
-            "{s:s, s:s, s:s, s:s, s:s, s:I}", "name", node->name, "zone",
-            node->zone, "state", state_name(node->state), "control",
-            node->control_address, "http", node->http_address, "revision",
+            "{s:o, s:o, s:s, s:o, s:o, s:I}", "name",
+            base_json_text(node->name), "zone", base_json_text(node->zone),
+            "state", state_name(node->state), "control",
+            base_json_text(node->control_address), "http",
+            base_json_text(node->http_address), "revision",
             (json_int_t)node->world_revision);
         json_array_append_new(list, object);
     }
@@ -41,9 +45,9 @@
         struct contracts_load load;
         contracts_controller_load(owned->controller, &load);
         json_t *object = json_pack(
-            "{s:s, s:i, s:i, s:i, s:i, s:b}", "name", owned->server, "window",
-            load.window, "online", load.online, "batch", load.batch, "queued",
-            load.queued, "leaving",
+            "{s:o, s:i, s:i, s:i, s:i, s:b}", "name",
+            base_json_text(owned->server), "window", load.window, "online",
+            load.online, "batch", load.batch, "queued", load.queued, "leaving",
             server != WORLD_NONE && control_is_leaving(control, server));
         json_array_append_new(list, object);
     }
@@ -58,9 +62,9 @@
     for (int i = 0; world != NULL && i < world->n_links; i++) {
         const struct world_link *link = &world->links[i];
         json_t *object = json_pack(
-            "{s:[s,s], s:f, s:I}", "between",
-            world->regions[link->region_a].name,
-            world->regions[link->region_b].name, "one_way_ms",
+            "{s:[o,o], s:f, s:I}", "between",
+            base_json_text(world->regions[link->region_a].name),
+            base_json_text(world->regions[link->region_b].name), "one_way_ms",
             link->one_way_ms, "bytes_per_s", (json_int_t)link->bytes_per_s);
         json_array_append_new(list, object);
     }
@@ -73,8 +77,9 @@
 control_status_text(struct control *control)
 {
     json_t *root = json_pack(
-        "{s:s, s:s, s:s, s:I, s:b, s:b, s:i, s:i}", "node", control->node,
-        "zone", control->zone, "environment", control->environment, "revision",
+        "{s:o, s:o, s:o, s:I, s:b, s:b, s:i, s:i}", "node",
+        base_json_text(control->node), "zone", base_json_text(control->zone),
+        "environment", base_json_text(control->environment), "revision",
         (json_int_t)control->config_sync.revision, "ready",
         g_atomic_int_get(&control->is_ready), "watcher", control->is_watcher,
         "contracts_held", (int)control->client.held.count, "asks_waiting",
--- a/packages/deploy/calls.c
+++ b/packages/deploy/calls.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/http_text.h"
 #include "deploy/internal.h"
 
 enum {
@@ -274,14 +275,15 @@
     json_t *root;
 
     base_random_id(id, sizeof(id));
-    root = json_pack("{s:s, s:s, s:I, s:s}", "order",
-                     deploy_order_name(order->kind), "model", desired->model,
-                     "fencing", (json_int_t)fencing, "id", id);
+    root = json_pack("{s:s, s:o, s:I, s:s}", "order",
+                     deploy_order_name(order->kind), "model",
+                     base_json_text(desired->model), "fencing",
+                     (json_int_t)fencing, "id", id);
     if (order->kind == DEPLOY_ADAPTER) {
-        json_object_set_new(root, "adapter", json_string(order->adapter));
+        json_object_set_new(root, "adapter", base_json_text(order->adapter));
     }
     else {
-        json_object_set_new(root, "version", json_string(desired->version));
+        json_object_set_new(root, "version", base_json_text(desired->version));
     }
     char *text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
--- a/packages/front/chat.c
+++ b/packages/front/chat.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum {
     MAX_PENDING = 4096, /* bytes of events before the first token */
     MAX_RESPONSE_BYTES =
@@ -251,9 +253,9 @@
 static char *
 assemble_response(const struct chat *chat)
 {
-    json_t *first_choice = json_pack("{s:i,s:s}", "index", 0, "finish_reason",
-                                     chat->finish_reason);
-    json_t *text = json_stringn(chat->text->str, chat->text->len);
+    json_t *first_choice = json_pack("{s:i,s:o}", "index", 0, "finish_reason",
+                                     base_json_text(chat->finish_reason));
+    json_t *text = base_json_bytes(chat->text->str, chat->text->len);
     json_t *response;
     char *dumped;
 
--- a/packages/front/errors.c
+++ b/packages/front/errors.c
@@ -2,6 +2,8 @@
 
 #include <stdarg.h>
 
+#include "base/http_text.h"
+
 enum { MS_PER_S = 1000 };
 
 const struct front_fault FRONT_BAD_REQUEST = {
@@ -35,9 +37,9 @@
 front_fault_json(const struct front_fault *fault, const char *text)
 {
     json_t *json =
-        json_pack("{s:{s:s,s:s,s:n,s:s},s:s}", "error", "message", text,
-                  "type", fault->type, "param", "code", fault->code, "ran",
-                  base_verdict_name(fault->verdict));
+        json_pack("{s:{s:o,s:s,s:n,s:s},s:s}", "error", "message",
+                  base_json_text(text), "type", fault->type, "param", "code",
+                  fault->code, "ran", base_verdict_name(fault->verdict));
     char *dumped = json_dumps(json, JSON_COMPACT);
 
     json_decref(json);
--- a/packages/front/test_requests.cc
+++ b/packages/front/test_requests.cc
@@ -72,6 +72,9 @@
          "not_allowed"},
         {"unknown service", test_get("/services/none/x"), 404,
          "service_not_found"},
+        /* The error names it, and used to end the process. */
+        {"a service's name that is not UTF-8", test_get("/services/%e9/x"),
+         404, "service_not_found"},
         {"chunked body",
          "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: "
          "Bearer k-all\r\ntransfer-encoding: chunked\r\n\r\n",
--- a/packages/front/upload.c
+++ b/packages/front/upload.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/http_text.h"
+
 enum {
     PIECE_SIZE = 262144,    /* bytes sent to the batch task in one call */
     MAX_FIELD_BYTES = 1024, /* storage for the form's fields except the file */
@@ -130,8 +132,9 @@
     g_strlcpy(batch->idempotency_key, request->idempotency_key,
               sizeof(batch->idempotency_key));
     if (op == BATCH_UPLOAD_OPEN) {
-        json_t *json = json_pack("{s:s,s:s}", "purpose", upload->purpose,
-                                 "filename", upload->filename);
+        json_t *json =
+            json_pack("{s:o,s:o}", "purpose", base_json_text(upload->purpose),
+                      "filename", base_json_text(upload->filename));
         char *text = json_dumps(json, JSON_COMPACT);
         batch->json_in = g_strdup(text);
         free(text);
--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -2,6 +2,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "base/http_text.h"
 #include "platform/codec.h"
 #include "platform/internal.h"
 
@@ -215,6 +216,18 @@
     return false;
 }
 
+/* Returns whether a key can be written: a dialect may send it as JSON, and an
+ * invalid one would be left out or changed.  If not, sets kv->err. */
+static bool
+is_key_allowed(struct platform_kv *kv, const char *key)
+{
+    if (base_text_is_storable(key)) {
+        return true;
+    }
+    base_error_set(&kv->err, BASE_INVALID, "a key is not UTF-8");
+    return false;
+}
+
 /* Returns whether an operation is within the service's limits; if not, sets
  * kv->err. */
 static bool
@@ -222,8 +235,9 @@
 {
     guint n_entries;
 
-    if (kv->op == PLATFORM_PUT_IF) {
-        return is_value_allowed(platform, kv, kv->key, kv->value);
+    if (kv->op == PLATFORM_PUT_IF || kv->op == PLATFORM_DELETE_IF) {
+        return is_key_allowed(kv, kv->key) &&
+               is_value_allowed(platform, kv, kv->key, kv->value);
     }
     if (kv->op != PLATFORM_TXN) {
         return true;
@@ -237,7 +251,8 @@
     }
     for (guint i = 0; i < kv->writes->len; i++) {
         const struct platform_write *write = kv->writes->pdata[i];
-        if (!is_value_allowed(platform, kv, write->key, write->value)) {
+        if (!is_key_allowed(kv, write->key) ||
+            !is_value_allowed(platform, kv, write->key, write->value)) {
             return false;
         }
     }
--- a/packages/platform/services.c
+++ b/packages/platform/services.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/http_text.h"
 #include "platform/internal.h"
 
 /* Requests to the host list and the weight store.  They are not retried here,
@@ -187,8 +188,9 @@
 encode_fetch(const struct platform_fetch *fetch)
 {
     json_t *root =
-        json_pack("{s:s, s:s, s:s}", "model", fetch->model, "version",
-                  fetch->version, "server", fetch->server);
+        json_pack("{s:o, s:o, s:o}", "model", base_json_text(fetch->model),
+                  "version", base_json_text(fetch->version), "server",
+                  base_json_text(fetch->server));
     char *text = json_dumps(root, JSON_COMPACT);
     GString *body = g_string_new(text);
 
