Refuse zero bytes in a client's header values

Cause: http_parser does not check the first byte of a header's value, and http1 joins its pieces as strings: of a value that begins with a zero byte the rest was lost or kept, depending on how the bytes arrived.

Change: such a request gets 400.

Measured: found by fuzz_front, which read different requests from the same bytes whole and in pieces of 9; the new rows of Http1.ParsesRequestsInPiecesOfAnySize pass.

--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -84,6 +84,11 @@
         http1->is_in_value = true;
         g_ptr_array_add(http1->fields, g_strdup(""));
     }
+    /* http_parser does not check the first byte of a value. */
+    if (memchr(text, '\0', size) != NULL) {
+        http1->error = "a zero byte in a header";
+        return -1;
+    }
     append_text(http1->fields, text, size);
     return 0;
 }
--- a/packages/front/test_http1.cc
+++ b/packages/front/test_http1.cc
@@ -106,6 +106,10 @@
         {"a tab in the target", "GET /a\tb HTTP/1.1\r\n\r\n", "", HTTP1_BAD},
         {"a form feed in the target", "GET /a?\f HTTP/1.1\r\n\r\n", "",
          HTTP1_BAD},
+        {"a zero byte in a value",
+         std::string("GET /a HTTP/1.1\r\nA:\0b\r\n\r\n", 25), "", HTTP1_BAD},
+        {"a control character in a value",
+         "GET /a HTTP/1.1\r\nA: \x01\r\n\r\n", "", HTTP1_BAD},
         {"no request", "\x16\x03\x01", "", HTTP1_BAD},
     };
 
