Check a stored job's text against its head

Cause: the head of a job lists results by the index of their item; a text with fewer items than the head would have been indexed beyond its end.

Change: such a job is not claimed (jobs.claim_failed).

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -108,7 +108,9 @@
     const char *data = g_bytes_get_data(text, &size);
     claim->job = jobs->decode(claim->id, data, size, err);
     g_bytes_unref(text);
-    return claim->job != NULL;
+    /* The head lists results by the index of their item. */
+    return claim->job != NULL &&
+           claim->job->items->len == claim->head.tokens->len;
 }
 
 static void
