--- a/packages/front/test_http1.cc
+++ b/packages/front/test_http1.cc
@@ -82,6 +82,11 @@
          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
          "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n",
          "<POST /a Transfer-Encoding=chunked chunked>xyz;", HTTP1_ENDED},
+        {"chunks with a trailer, which is dropped",
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nx\r\n0\r\nB: c\r\n\r\nGET /b HTTP/1.1\r\nD: e\r\n\r\n",
+         "<POST /a Transfer-Encoding=chunked chunked>x;<GET /b D=e>;",
+         HTTP1_ENDED},
         {"two on one connection",
          "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /b "
          "HTTP/1.1\r\n\r\n",
@@ -95,6 +100,16 @@
         {"two different lengths",
          "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
          "", HTTP1_BAD},
+        {"bytes from 0x80 on",
+         "GET /caf\xe9?\xff HTTP/1.1\r\nA: caf\xe9\r\n\r\n",
+         "<GET /caf\xe9?\xff A=caf\xe9>;", HTTP1_ENDED},
+        {"a tab in the target", "GET /a\tb HTTP/1.1\r\n\r\n", "", HTTP1_BAD},
+        {"a form feed in the target", "GET /a?\f HTTP/1.1\r\n\r\n", "",
+         HTTP1_BAD},
+        {"a zero byte in a value",
+         std::string("GET /a HTTP/1.1\r\nA:\0b\r\n\r\n", 25), "", HTTP1_BAD},
+        {"a control character in a value",
+         "GET /a HTTP/1.1\r\nA: \x01\r\n\r\n", "", HTTP1_BAD},
         {"no request", "\x16\x03\x01", "", HTTP1_BAD},
     };
 
