Choose a pool's server and the batch to preempt by work

Cause: the pool chose the preferred server or the one with most room, whatever work the servers still had to do, and preempted batch items that were due at the same time in the order of their numbers.

Change: admissions may carry the expected work. An online request of known work gets the server that would be done with its work and the request first, or the preferred one if that takes it longer by at most the work of the request; with no free slot, the full server whose next request ends first. Of batch items due in the same second the one with the most work left is preempted. Batch is placed by room, as before. With work 0 every choice is as before.

--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -105,6 +105,7 @@
     char preferred[CONTRACTS_SERVER_SIZE];
     uint64_t avoid[CONTRACTS_MAX_AVOIDED];
     int n_avoid;
+    int64_t work_ms; /* expected slot time, see packages/work; 0: unknown */
 };
 
 enum contracts_event_kind {
@@ -125,6 +126,19 @@
     struct contracts_load load;
     struct contracts_reduction reduction;
     int64_t retry_ms; /* busy: when a request may be granted; 0: unknown */
+    /* Granted by a pool to an online request of known work (else work_ms is
+     * 0): that work, and in what time the server and the best one would have
+     * been done with their work before, or of full servers, with their next
+     * contract. */
+    int64_t work_ms;
+    int64_t remaining_ms;
+    int64_t best_remaining_ms;
+};
+
+/* A batch slot that may be preempted. */
+struct contracts_victim {
+    int64_t due_ms; /* when its work is due; INT64_MAX: late already */
+    double left_ms; /* slot time that its work still needs; -1: unknown */
 };
 
 struct contracts_controller_desc {
@@ -192,6 +206,11 @@
                                  const char *holder, uint64_t contract_id,
                                  enum contracts_class class_, int slots,
                                  int64_t now_ms, GArray *out);
+/* Sets the expected work of a contract that a holder reported, which has run
+ * for elapsed_ms; 0: unknown. */
+void contracts_controller_set_work(struct contracts_controller *controller,
+                                   uint64_t contract_id, int64_t work_ms,
+                                   int64_t elapsed_ms, int64_t now_ms);
 /* Sets the requests a second that the server takes, as it named them itself;
  * INFINITY: any number.  Grants keep to that rate. */
 void contracts_controller_set_limit(struct contracts_controller *controller,
@@ -243,12 +262,30 @@
 /* Returns the batch slots that are preempted but not released yet. */
 int
 contracts_controller_preempting(const struct contracts_controller *controller);
-/* Returns when the work is due of the batch slot that would be preempted after
- * n others, in the caller's clock; INT64_MAX if it is late already, -1 if
- * there is no such slot. */
-int64_t
-contracts_controller_victim_due(const struct contracts_controller *controller,
-                                int n);
+/* Finds the batch slot that would be preempted after n others; false if there
+ * is no such slot. */
+bool contracts_controller_victim(const struct contracts_controller *controller,
+                                 int n, int64_t now_ms,
+                                 struct contracts_victim *out);
+/* Returns whether slot `a` is preempted before slot `b`: the one due later or,
+ * if the work of both is known and they are due in the same second, the one
+ * with more work left. */
+bool contracts_victim_is_before(const struct contracts_victim *a,
+                                const struct contracts_victim *b);
+/* Returns in what time, in ms, the server's slots would be done with the work
+ * of its online contracts; batch gives way to them.  Contracts of unknown work
+ * count as unknown_ms. */
+double
+contracts_controller_remaining(const struct contracts_controller *controller,
+                               double unknown_ms, int64_t now_ms);
+/* Returns in what time, in ms, the first online contract is expected to end;
+ * INFINITY if there is none. */
+double
+contracts_controller_next_end(const struct contracts_controller *controller,
+                              double unknown_ms, int64_t now_ms);
+/* Returns the server's speed with online requests, see packages/work. */
+double
+contracts_controller_speed(const struct contracts_controller *controller);
 /* Sets how many online requests that wait outside of this controller need a
  * slot of it; batch gives way to them. */
 void contracts_controller_set_wanted(struct contracts_controller *controller,
--- a/packages/contracts/controller.c
+++ b/packages/contracts/controller.c
@@ -176,6 +176,8 @@
     if (slots == 0) {
         /* A released slot may be granted again while rebuilding. */
         controller->provisional_held -= contract->is_provisional ? 1 : 0;
+        work_tracker_end(controller_work(controller, contract->kind),
+                         contract->id, false, 0);
         g_hash_table_remove(controller->contracts, &contract->id);
     }
 }
@@ -224,6 +226,8 @@
         contract->is_provisional = true;
         controller->provisional_held++;
     }
+    work_tracker_start(&controller->online_work, contract->id,
+                       admission->work_ms, now_ms);
     pace_take(&controller->pace, 1);
     overload_record_grant(&controller->overload);
     stall_record_grant(&controller->stall, now_ms);
@@ -302,9 +306,8 @@
 contracts_controller_set_wanted(struct contracts_controller *controller,
                                 int wanted, int64_t now_ms, GArray *out)
 {
-    (void)now_ms;
     controller->wanted = wanted;
-    controller_preempt_batch(controller, out);
+    controller_preempt_batch(controller, now_ms, out);
 }
 
 /* Grants free slots to waiting admission requests, online first, and preempts
@@ -324,7 +327,7 @@
         g_free(entry);
     }
     record_demand(controller, false, now_ms);
-    controller_preempt_batch(controller, out);
+    controller_preempt_batch(controller, now_ms, out);
     controller_serve_batch(controller, now_ms, out);
 }
 
@@ -427,7 +430,7 @@
         queue_push(&controller->queue, admission, now_ms);
     }
     record_demand(controller, true, now_ms);
-    controller_preempt_batch(controller, out);
+    controller_preempt_batch(controller, now_ms, out);
 }
 
 /* Answers an admission request now or, within its wait_ms, later. */
@@ -527,6 +530,16 @@
     }
 }
 
+/* Returns whether the request of a contract that ends has run to its end, as
+ * far as the outcome tells. */
+static bool
+has_run(const struct contract *contract,
+        const struct contracts_outcome *outcome)
+{
+    return outcome != NULL && !outcome->failed && outcome->tokens > 0 &&
+           contract->preempting == 0;
+}
+
 /* See the header.  A number of slots that is not below those held changes
  * nothing.  outcome may be NULL. */
 void
@@ -548,6 +561,10 @@
         apply_outcome(controller, contract, outcome, now_ms);
     }
     if (contract != NULL && slots < contract->slots) {
+        if (slots <= 0) {
+            work_tracker_end(controller_work(controller, contract->kind),
+                             contract_id, has_run(contract, outcome), now_ms);
+        }
         controller_set_slots(controller, contract, MAX(slots, 0));
     }
     controller_serve(controller, now_ms, out);
--- a/packages/contracts/controller.h
+++ b/packages/contracts/controller.h
@@ -5,6 +5,7 @@
  *                           answers
  *   controller_batch.c      grants, renews, preempts and expires batch
  *                           contracts
+ *   controller_work.c       the work that is left of contracts
  *   controller_lifecycle.c  makes, rebuilds, drains and frees a controller,
  *                           and has its regular tick
  *
@@ -20,6 +21,7 @@
 #include "contracts/reserve.h"
 #include "contracts/stall.h"
 #include "contracts/window.h"
+#include "work/work.h"
 
 enum { CONTROLLER_DEFAULT_TERM_MS = 2000 };
 
@@ -43,6 +45,10 @@
     struct overload overload;
     struct stall stall;
     struct pace pace;
+    /* Contracts whose work is known.  Online and batch have separate ones, as
+     * their work is estimated in different ways. */
+    struct work_tracker online_work;
+    struct work_tracker batch_work;
     struct queue queue;            /* online admission requests */
     GQueue batch_admissions;       /* of struct queue_entry, by due time */
     GHashTable *contracts;         /* id to struct contract */
@@ -65,6 +71,8 @@
                                 uint64_t id, const char *holder,
                                 enum contracts_class kind, int slots,
                                 int64_t now_ms);
+struct work_tracker *controller_work(struct contracts_controller *controller,
+                                     enum contracts_class kind);
 void controller_set_slots(struct contracts_controller *controller,
                           struct contract *contract, int slots);
 uint64_t controller_next_id(struct contracts_controller *controller);
@@ -85,7 +93,7 @@
 void controller_serve_batch(struct contracts_controller *controller,
                             int64_t now_ms, GArray *out);
 void controller_preempt_batch(struct contracts_controller *controller,
-                              GArray *out);
+                              int64_t now_ms, GArray *out);
 void controller_expire_batch(struct contracts_controller *controller,
                              int64_t now_ms);
 
--- a/packages/contracts/controller_batch.c
+++ b/packages/contracts/controller_batch.c
@@ -5,6 +5,8 @@
 enum {
     /* A batch contract may still run for this long after its term. */
     TERM_GRACE_MS = 1000,
+    /* Work that is due in the same step counts as due at the same time. */
+    DUE_STEP_MS = 1000,
 };
 
 /* Returns the most slots that batch may hold, even with no online load. */
@@ -125,6 +127,8 @@
         pace_take(&controller->pace, contract->slots);
         contract->expires_ms = now_ms + admission->term_ms;
         contract->due_ms = due_of(admission, now_ms);
+        work_tracker_start(&controller->batch_work, contract->id,
+                           admission->work_ms, now_ms);
     }
     controller_answer(controller, admission, CONTRACTS_GRANTED, contract,
                       now_ms, out);
@@ -207,80 +211,111 @@
     }
 }
 
-/* Returns whether `a` is preempted before `b`: the contract with more slots
- * first, then the one due later. */
-static bool
-is_preempted_before(const struct contract *a, const struct contract *b)
+/* A batch contract that may be preempted. */
+struct candidate {
+    struct contract *contract;
+    int slots; /* not yet preempted */
+    struct contracts_victim victim;
+};
+
+/* See the header. */
+bool
+contracts_victim_is_before(const struct contracts_victim *a,
+                           const struct contracts_victim *b)
+{
+    bool is_known = a->left_ms >= 0 && b->left_ms >= 0;
+
+    if (is_known && a->due_ms / DUE_STEP_MS == b->due_ms / DUE_STEP_MS) {
+        return a->left_ms > b->left_ms;
+    }
+    return a->due_ms > b->due_ms;
+}
+
+/* The contract with more slots comes first, then the one whose slot is
+ * preempted first. */
+static gint
+compare_candidates(gconstpointer left, gconstpointer right)
 {
-    int slots_a = a->slots - a->preempting;
-    int slots_b = b->slots - b->preempting;
+    const struct candidate *a = left;
+    const struct candidate *b = right;
 
-    if (slots_a != slots_b) {
-        return slots_a > slots_b;
+    if (a->slots != b->slots) {
+        return a->slots > b->slots ? -1 : 1;
     }
-    if (a->due_ms != b->due_ms) {
-        return a->due_ms > b->due_ms;
+    if (contracts_victim_is_before(&a->victim, &b->victim)) {
+        return -1;
+    }
+    if (contracts_victim_is_before(&b->victim, &a->victim)) {
+        return 1;
     }
-    return a->id < b->id;
+    return a->contract->id < b->contract->id ? -1 : 1;
 }
 
-/* Returns the batch contract to preempt next, or NULL. */
-static struct contract *
-next_to_preempt(const struct contracts_controller *controller)
+/* Returns the batch contracts that may be preempted, as struct candidate, in
+ * the order of preemption.  What is left of them counts only if it is known of
+ * all: otherwise there would be no consistent order. */
+static GArray *
+list_candidates(const struct contracts_controller *controller, int64_t now_ms)
 {
-    struct contract *best = NULL;
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    bool are_known = true;
     struct contract *contract;
     GHashTableIter iter;
 
     g_hash_table_iter_init(&iter, controller->contracts);
     while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&contract)) {
-        if (contract->kind == CONTRACTS_BATCH &&
-            contract->slots > contract->preempting &&
-            (best == NULL || is_preempted_before(contract, best))) {
-            best = contract;
+        struct candidate made = {
+            contract,
+            contract->slots - contract->preempting,
+            {contract->due_ms, work_tracker_left(&controller->batch_work,
+                                                 contract->id, now_ms)}};
+        if (contract->kind == CONTRACTS_BATCH && made.slots > 0) {
+            are_known = are_known && made.victim.left_ms >= 0;
+            g_array_append_val(found, made);
         }
     }
-    return best;
+    for (guint i = 0; !are_known && i < found->len; i++) {
+        g_array_index(found, struct candidate, i).victim.left_ms = -1;
+    }
+    g_array_sort(found, compare_candidates);
+    return found;
 }
 
-static gint
-compare_victims(gconstpointer left, gconstpointer right)
+/* Returns the batch contract to preempt next, or NULL. */
+static struct contract *
+next_to_preempt(const struct contracts_controller *controller, int64_t now_ms)
 {
-    const struct contract *a = *(const struct contract *const *)left;
-    const struct contract *b = *(const struct contract *const *)right;
+    GArray *found = list_candidates(controller, now_ms);
+    struct contract *first =
+        found->len == 0 ? NULL
+                        : g_array_index(found, struct candidate, 0).contract;
 
-    return is_preempted_before(a, b) ? -1 : 1;
+    g_array_free(found, TRUE);
+    return first;
 }
 
 /* See the header. */
-int64_t
-contracts_controller_victim_due(const struct contracts_controller *controller,
-                                int n)
+bool
+contracts_controller_victim(const struct contracts_controller *controller,
+                            int n, int64_t now_ms,
+                            struct contracts_victim *out)
 {
-    GPtrArray *victims;
-    int64_t due_ms = -1;
-    struct contract *contract;
-    GHashTableIter iter;
+    GArray *found;
+    bool is_found = false;
 
     if (contracts_controller_is_closed(controller)) {
-        return -1;
-    }
-    victims = g_ptr_array_new();
-    g_hash_table_iter_init(&iter, controller->contracts);
-    while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&contract)) {
-        if (contract->kind == CONTRACTS_BATCH &&
-            contract->slots > contract->preempting) {
-            g_ptr_array_add(victims, contract);
-        }
+        return false;
     }
-    g_ptr_array_sort(victims, compare_victims);
-    for (guint i = 0; i < victims->len && due_ms < 0; i++) {
-        contract = victims->pdata[i];
-        n -= contract->slots - contract->preempting;
-        due_ms = n < 0 ? contract->due_ms : -1;
+    found = list_candidates(controller, now_ms);
+    for (guint i = 0; i < found->len && !is_found; i++) {
+        const struct candidate *at =
+            &g_array_index(found, struct candidate, i);
+        n -= at->slots;
+        *out = at->victim;
+        is_found = n < 0;
     }
-    g_ptr_array_free(victims, TRUE);
-    return due_ms;
+    g_array_free(found, TRUE);
+    return is_found;
 }
 
 static void
@@ -323,12 +358,13 @@
  * already, from the largest contracts first.  A lost message is not repeated:
  * the end of the contract's term bounds the delay. */
 void
-controller_preempt_batch(struct contracts_controller *controller, GArray *out)
+controller_preempt_batch(struct contracts_controller *controller,
+                         int64_t now_ms, GArray *out)
 {
     int excess = excess_slots(controller) - controller->preempting;
 
     while (excess > 0) {
-        struct contract *contract = next_to_preempt(controller);
+        struct contract *contract = next_to_preempt(controller, now_ms);
         if (contract == NULL) {
             break;
         }
--- a/packages/contracts/controller_lifecycle.c
+++ b/packages/contracts/controller_lifecycle.c
@@ -33,6 +33,8 @@
     overload_init(&controller->overload, desc->now_ms);
     stall_init(&controller->stall);
     pace_init(&controller->pace);
+    work_tracker_init(&controller->online_work);
+    work_tracker_init(&controller->batch_work);
     if (desc->is_rebuilding) {
         controller->rebuild_until_ms = desc->now_ms + REBUILD_MS;
     }
@@ -49,6 +51,8 @@
     }
     queue_finish(&controller->queue);
     overload_finish(&controller->overload);
+    work_tracker_finish(&controller->online_work);
+    work_tracker_finish(&controller->batch_work);
     g_queue_clear_full(&controller->batch_admissions, g_free);
     g_hash_table_destroy(controller->contracts);
     g_free(controller);
@@ -160,7 +164,7 @@
 {
     controller->is_leaving = true;
     answer_all(controller, CONTRACTS_UNAVAILABLE, now_ms, out);
-    controller_preempt_batch(controller, out);
+    controller_preempt_batch(controller, now_ms, out);
 }
 
 /* Resumes grants, as the server is no longer leaving. */
--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -31,6 +31,16 @@
     struct reserve reserve;
 };
 
+/* A server chosen for a request. */
+struct choice {
+    const struct pool_server *server; /* NULL: none */
+    /* Only if the work of the request is known: when the server, and the best
+     * one, would be done with their work; of servers that are full, when their
+     * next contract ends. */
+    double remaining_ms;
+    double best_remaining_ms;
+};
+
 /* Makes a pool without servers. */
 struct contracts_pool *
 contracts_pool_new(int64_t now_ms)
@@ -189,9 +199,20 @@
 }
 
 static void
-grant(struct contracts_pool *pool, const struct pool_server *server,
+fill_choice(struct contracts_event *event, const struct choice *choice,
+            const struct contracts_admission *admission)
+{
+    event->work_ms =
+        admission->class_ != CONTRACTS_BATCH ? admission->work_ms : 0;
+    event->remaining_ms = (int64_t)choice->remaining_ms;
+    event->best_remaining_ms = (int64_t)choice->best_remaining_ms;
+}
+
+static void
+grant(struct contracts_pool *pool, const struct choice *choice,
       const struct contracts_admission *admission, int64_t now_ms, GArray *out)
 {
+    const struct pool_server *server = choice->server;
     guint first = out->len;
 
     contracts_controller_grant(server->controller, admission, now_ms, out);
@@ -204,6 +225,7 @@
         g_strlcpy(event->server, server->name, sizeof(event->server));
         if (event->kind == CONTRACTS_ANSWER) {
             fill_load(pool, event, now_ms);
+            fill_choice(event, choice, admission);
         }
     }
 }
@@ -224,13 +246,22 @@
     return false;
 }
 
-/* Returns the server for a request, or NULL: the preferred one if it has room,
- * else the one with the most room. */
-static const struct pool_server *
-choose_server(const struct contracts_pool *pool,
-              const struct contracts_admission *admission, int64_t now_ms)
+static bool
+may_get(const struct pool_server *server,
+        const struct contracts_admission *admission, int64_t now_ms)
 {
-    const struct pool_server *best = NULL;
+    return contracts_controller_room(server->controller, admission->class_,
+                                     now_ms) > 0 &&
+           !is_avoided(admission, server);
+}
+
+/* Chooses the preferred server if it has room, else the one with the most
+ * room. */
+static struct choice
+choose_by_room(const struct contracts_pool *pool,
+               const struct contracts_admission *admission, int64_t now_ms)
+{
+    struct choice best = {0};
     int most_room = 0;
 
     for (guint i = 0; i < pool->servers->len; i++) {
@@ -241,16 +272,72 @@
             continue;
         }
         if (strcmp(server->name, admission->preferred) == 0) {
-            return server;
+            return (struct choice){.server = server};
         }
         if (room > most_room) {
-            best = server;
+            best.server = server;
             most_room = room;
         }
     }
     return best;
 }
 
+/* Chooses the server that would be done with its work and the request first,
+ * or the preferred one if that takes it longer by at most the work of the
+ * request.  Only then is it worth more to leave a server that is slow, or has
+ * much to do, than to keep requests with a common prefix together. */
+static struct choice
+choose_by_work(const struct contracts_pool *pool,
+               const struct contracts_admission *admission, int64_t now_ms)
+{
+    double work_ms = (double)admission->work_ms;
+    struct choice best = {0};
+    struct choice preferred = {0};
+    double best_done_ms = 0;
+    double preferred_done_ms = 0;
+
+    for (guint i = 0; i < pool->servers->len; i++) {
+        const struct pool_server *server = pool->servers->pdata[i];
+        struct choice at = {.server = server};
+        double done_ms;
+        if (!may_get(server, admission, now_ms)) {
+            continue;
+        }
+        at.remaining_ms = contracts_controller_remaining(server->controller,
+                                                         work_ms, now_ms);
+        done_ms = at.remaining_ms +
+                  work_ms / contracts_controller_speed(server->controller);
+        if (best.server == NULL || done_ms < best_done_ms) {
+            best = at;
+            best_done_ms = done_ms;
+        }
+        if (strcmp(server->name, admission->preferred) == 0) {
+            preferred = at;
+            preferred_done_ms = done_ms;
+        }
+    }
+    best.best_remaining_ms = best.remaining_ms;
+    preferred.best_remaining_ms = best.remaining_ms;
+    return preferred.server != NULL &&
+                   preferred_done_ms - best_done_ms <= work_ms
+               ? preferred
+               : best;
+}
+
+/* Chooses a server with room for a request.  Batch goes where there is most
+ * room: chosen by work, it took more slots that online requests were about to
+ * need. */
+static struct choice
+choose_server(const struct contracts_pool *pool,
+              const struct contracts_admission *admission, int64_t now_ms)
+{
+    bool has_work =
+        admission->work_ms > 0 && admission->class_ != CONTRACTS_BATCH;
+
+    return has_work ? choose_by_work(pool, admission, now_ms)
+                    : choose_by_room(pool, admission, now_ms);
+}
+
 /* Returns how many batch slots could be preempted, or are being. */
 static int
 count_batch(const struct contracts_pool *pool)
@@ -264,27 +351,40 @@
     return n_slots;
 }
 
-/* Returns a server whose window is full of online requests and that may get
- * one more, which it starts as soon as another one ends, or NULL.  Without it
- * a slot would stay empty from the end of a request until the next one has
- * come through its holder.  Requests for which batch can be preempted wait for
- * that instead; n_waiting is the number of those that wait. */
-static const struct pool_server *
+/* Chooses a server whose window is full of online requests and that may get
+ * one more, which it starts as soon as another one ends: the one where that is
+ * expected first, if the work of the request is known.  Without the additional
+ * request a slot would stay empty from the end of a request until the next one
+ * has come through its holder.  Requests for which batch can be preempted wait
+ * for that instead; n_waiting is the number of those that wait. */
+static struct choice
 choose_queueing_server(const struct contracts_pool *pool,
                        const struct contracts_admission *admission,
-                       int n_waiting)
+                       int n_waiting, int64_t now_ms)
 {
+    struct choice best = {0};
+
     if (n_waiting <= count_batch(pool)) {
-        return NULL;
+        return best;
     }
     for (guint i = 0; i < pool->servers->len; i++) {
         const struct pool_server *server = pool->servers->pdata[i];
-        if (contracts_controller_may_queue(server->controller) &&
-            !is_avoided(admission, server)) {
-            return server;
+        struct choice at = {.server = server};
+        if (!contracts_controller_may_queue(server->controller) ||
+            is_avoided(admission, server)) {
+            continue;
+        }
+        if (admission->work_ms <= 0) {
+            return at;
+        }
+        at.remaining_ms = contracts_controller_next_end(
+            server->controller, (double)admission->work_ms, now_ms);
+        if (best.server == NULL || at.remaining_ms < best.remaining_ms) {
+            best = at;
+            best.best_remaining_ms = at.remaining_ms;
         }
     }
-    return NULL;
+    return best;
 }
 
 /* ---- service ---- */
@@ -297,20 +397,21 @@
 
     while (queue_count(&pool->queue) > 0) {
         int n_waiting = queue_count(&pool->queue);
-        const struct pool_server *server;
+        struct choice choice;
         struct queue_entry *entry;
-        if (choose_server(pool, &ANY, now_ms) == NULL &&
-            choose_queueing_server(pool, &ANY, n_waiting) == NULL) {
+        if (choose_server(pool, &ANY, now_ms).server == NULL &&
+            choose_queueing_server(pool, &ANY, n_waiting, now_ms).server ==
+                NULL) {
             return;
         }
         entry = queue_pop(&pool->queue, true, now_ms);
-        server = choose_server(pool, &entry->admission, now_ms);
-        if (server == NULL) {
-            server =
-                choose_queueing_server(pool, &entry->admission, n_waiting);
+        choice = choose_server(pool, &entry->admission, now_ms);
+        if (choice.server == NULL) {
+            choice = choose_queueing_server(pool, &entry->admission, n_waiting,
+                                            now_ms);
         }
-        if (server != NULL) {
-            grant(pool, server, &entry->admission, now_ms, out);
+        if (choice.server != NULL) {
+            grant(pool, &choice, &entry->admission, now_ms, out);
         }
         else {
             answer(pool, &entry->admission, CONTRACTS_BUSY, now_ms, out);
@@ -335,21 +436,23 @@
 }
 
 /* Returns the index of the server whose next batch slot to preempt is the one
- * with the latest due time, or -1 if no batch is left. */
+ * to preempt first, or -1 if no batch is left. */
 static int
-find_victim(const struct contracts_pool *pool, const int *wanted)
+find_victim(const struct contracts_pool *pool, const int *wanted,
+            int64_t now_ms)
 {
-    int64_t latest_ms = -1;
+    struct contracts_victim best;
     int found = -1;
 
     for (guint i = 0; i < pool->servers->len; i++) {
         struct contracts_controller *controller =
             ((struct pool_server *)pool->servers->pdata[i])->controller;
         int n_new = wanted[i] - contracts_controller_preempting(controller);
-        int64_t due_ms =
-            contracts_controller_victim_due(controller, MAX(n_new, 0));
-        if (due_ms > latest_ms) {
-            latest_ms = due_ms;
+        struct contracts_victim victim;
+        if (contracts_controller_victim(controller, MAX(n_new, 0), now_ms,
+                                        &victim) &&
+            (found < 0 || contracts_victim_is_before(&victim, &best))) {
+            best = victim;
             found = (int)i;
         }
     }
@@ -365,7 +468,8 @@
     int n_waiting = assign_preempting(pool, wanted, queue_count(&pool->queue));
     int victim;
 
-    while (n_waiting > 0 && (victim = find_victim(pool, wanted)) >= 0) {
+    while (n_waiting > 0 &&
+           (victim = find_victim(pool, wanted, now_ms)) >= 0) {
         wanted[victim]++;
         n_waiting--;
     }
@@ -407,16 +511,16 @@
 
     for (GList *at = pool->batch.head; at != NULL; at = next) {
         struct queue_entry *entry = at->data;
-        const struct pool_server *server;
+        struct choice choice;
         next = at->next;
         if (batch_room(pool, now_ms) <= 0) {
             return;
         }
-        server = choose_server(pool, &entry->admission, now_ms);
-        if (server == NULL) {
+        choice = choose_server(pool, &entry->admission, now_ms);
+        if (choice.server == NULL) {
             continue;
         }
-        grant(pool, server, &entry->admission, now_ms, out);
+        grant(pool, &choice, &entry->admission, now_ms, out);
         g_free(entry);
         g_queue_delete_link(&pool->batch, at);
     }
@@ -517,17 +621,17 @@
              const struct contracts_admission *admission, int64_t now_ms,
              GArray *out)
 {
-    const struct pool_server *server = NULL;
+    struct choice choice = {0};
 
     overload_record_admission(&pool->overload, admission);
     if (queue_count(&pool->queue) == 0) {
-        server = choose_server(pool, admission, now_ms);
-        if (server == NULL) {
-            server = choose_queueing_server(pool, admission, 1);
+        choice = choose_server(pool, admission, now_ms);
+        if (choice.server == NULL) {
+            choice = choose_queueing_server(pool, admission, 1, now_ms);
         }
     }
-    if (server != NULL) {
-        grant(pool, server, admission, now_ms, out);
+    if (choice.server != NULL) {
+        grant(pool, &choice, admission, now_ms, out);
     }
     else {
         enqueue_online(pool, admission, now_ms, out);
@@ -559,13 +663,14 @@
             const struct contracts_admission *admission, int64_t now_ms,
             GArray *out)
 {
-    const struct pool_server *server =
-        batch_room(pool, now_ms) > 0 ? choose_server(pool, admission, now_ms)
-                                     : NULL;
+    struct choice choice = {0};
     struct queue_entry *entry;
 
-    if (server != NULL) {
-        grant(pool, server, admission, now_ms, out);
+    if (batch_room(pool, now_ms) > 0) {
+        choice = choose_server(pool, admission, now_ms);
+    }
+    if (choice.server != NULL) {
+        grant(pool, &choice, admission, now_ms, out);
         return;
     }
     if (admission->wait_ms <= 0) {
