Send the expected work of requests to owners and to their successors

Cause: the owner of a pool could not know the work of the contracts that it grants, and a new owner not that of those that run.

Change: admission messages have work_ms, holders' reports and handovers work_ms and elapsed_ms. All are sent and used only if the node routes by cost (control_desc.cost_routing); 0 takes no bytes. The owner logs owner.chosen at level debug, and the status of a server has remaining_ms.

--- a/packages/control/client.c
+++ b/packages/control/client.c
@@ -336,6 +336,8 @@
                                          .slots = slots,
                                          .contract = answer->contract,
                                          .from = admission->call.from,
+                                         .work_ms = admission->work_ms,
+                                         .granted_ms = control->now_ms,
                                          .preempt = admission->preempt};
     g_strlcpy(held.server, admission->server, sizeof(held.server));
     g_strlcpy(held.owner, pending->owner, sizeof(held.owner));
@@ -472,6 +474,9 @@
     message->prefer_ms = admission->prefer_ms;
     message->slots = (uint32_t)MAX(admission->slots, 1);
     message->term_ms = admission->term_ms;
+    if (control->cost_routing) {
+        message->work_ms = (uint32_t)CLAMP(admission->work_ms, 0, WORK_MAX_MS);
+    }
     message->ask_id = pending->id;
     message->any_server = admission->any_server;
     message->n_avoid = (size_t)admission->n_avoid;
--- a/packages/control/client_report.c
+++ b/packages/control/client_report.c
@@ -40,10 +40,22 @@
     return true;
 }
 
+/* Sets the expected work of a reported contract, and how long it has run; both
+ * stay 0, which takes no bytes, if the work is unknown. */
+void
+control_fill_work(Control__Held *out, int64_t work_ms, int64_t elapsed_ms)
+{
+    if (work_ms > 0) {
+        out->work_ms = (uint32_t)MIN(work_ms, WORK_MAX_MS);
+        out->elapsed_ms = (uint32_t)CLAMP(elapsed_ms, 0, UINT32_MAX);
+    }
+}
+
 /* Appends a contract to the list of a report; the list must free its entries
  * with g_free. */
 void
-control_report_add(GPtrArray *report, const struct control_held_contract *held)
+control_report_add(struct control *control, GPtrArray *report,
+                   const struct control_held_contract *held)
 {
     Control__Held *entry = g_new(Control__Held, 1);
 
@@ -51,6 +63,10 @@
     entry->contract = held->contract;
     entry->work_class = (uint32_t)held->class_;
     entry->slots = (uint32_t)held->slots;
+    if (control->cost_routing) {
+        control_fill_work(entry, held->work_ms,
+                          control->now_ms - held->granted_ms);
+    }
     g_ptr_array_add(report, entry);
 }
 
@@ -86,7 +102,7 @@
             report = g_ptr_array_new_with_free_func(g_free);
             g_hash_table_insert(reports, held->server, report);
         }
-        control_report_add(report, held);
+        control_report_add(control, report, held);
     }
     g_hash_table_iter_init(&iter, reports);
     while (g_hash_table_iter_next(&iter, &server, &report)) {
@@ -128,7 +144,7 @@
         const struct control_held_contract *held =
             control_find_held_contract(control, packed);
         if (held != NULL) {
-            control_report_add(report, held);
+            control_report_add(control, report, held);
             continue;
         }
         control_send_release(control, audit->server, audit->contracts[i], 0,
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -233,6 +233,7 @@
     control->source = desc->origin;
     control->may_retire = desc->may_retire;
     control->is_first_start = desc->is_first_start;
+    control->cost_routing = desc->cost_routing;
     control->n_watchers = desc->n_watchers;
     control->n_site_zones = desc->n_site_zones;
     control->site_zones =
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -62,8 +62,9 @@
      * Batch: time left until the work is due; 0: late or never due.  It orders
      * the queue, see struct contracts_admission. */
     int64_t prefer_ms;
-    int slots;                      /* batch only; online is always 1 */
-    int64_t term_ms;                /* batch only */
+    int64_t work_ms; /* expected slot time, see packages/work; 0: unknown */
+    int slots;       /* batch only; online is always 1 */
+    int64_t term_ms; /* batch only */
     struct base_span_context trace; /* parent of the span; zero: no trace */
     /* Batch: called when the owner preempts `slots` slots of the contract.
      * Runs on the requesting task, any number of times while the contract is
@@ -205,6 +206,8 @@
      * configuration. */
     bool is_first_start;
     struct control_rate_tolerance rate_tolerance;
+    /* Requests' expected work is sent to owners, and used by them. */
+    bool cost_routing;
     bool may_retire; /* site only: the operator may request that the node be
                         emptied */
     uint64_t seed;   /* for random choices; 0: a random seed */
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -36,6 +36,7 @@
 #include "control/control.h"
 #include "wire/control.pb-c.h"
 #include "wire/wire.h"
+#include "work/work.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -119,6 +120,8 @@
     enum contracts_class class_;
     int slots;
     int64_t last_checked_ms; /* time of the grant or of the last audit */
+    int64_t work_ms;         /* expected slot time; 0: unknown */
+    int64_t granted_ms;
 };
 
 /* State of the servers that this node owns. */
@@ -152,6 +155,8 @@
     uint64_t contract;             /* the owner's contract number */
     enum contracts_class class_;
     int slots;
+    int64_t work_ms; /* expected slot time; 0: unknown */
+    int64_t granted_ms;
     bool is_local;          /* granted from this node's local share */
     struct base_task *from; /* the task that requested it */
     void (*preempt)(void *task_state, uint64_t contract, int slots);
@@ -290,6 +295,7 @@
     int n_watchers; /* watchers per availability zone; 0: see watchers.c */
     bool may_retire;
     bool is_first_start;
+    bool cost_routing;
     /* state */
     struct members *members;
     struct members_view *view;
@@ -450,8 +456,10 @@
 void control_client_report_all(struct control *control);
 void control_client_audit(struct control *control,
                           const Control__Audit *audit);
-void control_report_add(GPtrArray *report,
+void control_report_add(struct control *control, GPtrArray *report,
                         const struct control_held_contract *held);
+void control_fill_work(Control__Held *out, int64_t work_ms,
+                       int64_t elapsed_ms);
 
 /* config_sync.c */
 bool control_reads_store(struct control *control);
--- a/packages/control/handover.c
+++ b/packages/control/handover.c
@@ -69,7 +69,8 @@
 }
 
 static void
-add_grant(GPtrArray *holders, const struct control_grant *grant)
+add_grant(struct control *control, GPtrArray *holders,
+          const struct control_grant *grant)
 {
     Control__HandedHolder *holder = holder_entry(holders, grant->holder);
     Control__Held *held = g_new(Control__Held, 1);
@@ -78,6 +79,8 @@
     held->contract = grant->contract;
     held->work_class = (uint32_t)grant->class_;
     held->slots = (uint32_t)grant->slots;
+    control_fill_work(held, grant->work_ms,
+                      control->now_ms - grant->granted_ms);
     holder->held = g_renew(Control__Held *, holder->held, holder->n_held + 1);
     holder->held[holder->n_held++] = held;
 }
@@ -103,7 +106,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct control_grant *grant = value;
         if (strcmp(grant->server, server) == 0) {
-            add_grant(holders, grant);
+            add_grant(control, holders, grant);
         }
     }
     handover.server = (char *)server;
--- a/packages/control/owner.c
+++ b/packages/control/owner.c
@@ -15,6 +15,7 @@
     char server[CONTROL_SERVER_SIZE];
     uint64_t pool; /* key of the pool; 0: only the server may be granted */
     enum contracts_class class_;
+    int64_t work_ms; /* expected slot time; 0: unknown */
     bool is_local;
     struct wire_return back;
     struct base_span span;
@@ -120,7 +121,8 @@
     }
 }
 
-static void
+/* Records a granted or reported contract, and returns its record. */
+static struct control_grant *
 note_grant(struct control *control, const struct control_owned_server *owned,
            const char *holder, uint64_t contract, enum contracts_class class_,
            int slots)
@@ -131,7 +133,7 @@
 
     if (grant != NULL) {
         grant->slots = slots;
-        return;
+        return grant;
     }
     grant = g_new0(struct control_grant, 1);
     grant->key = key;
@@ -142,6 +144,23 @@
     g_strlcpy(grant->server, owned->server, sizeof(grant->server));
     g_strlcpy(grant->holder, holder, sizeof(grant->holder));
     g_hash_table_insert(control->owner.granted, &grant->key, grant);
+    return grant;
+}
+
+/* Tells an operator why a server was chosen: for what work, and in what time
+ * it and the best server would have been done with theirs. */
+static void
+log_choice(const struct contracts_event *event)
+{
+    if (event->work_ms > 0) {
+        base_log(BASE_LOG_DEBUG, "owner.chosen",
+                 "server=%s holder=%s ask=%" G_GINT64_MODIFIER
+                 "x work_ms=%" G_GINT64_FORMAT
+                 " remaining_ms=%" G_GINT64_FORMAT
+                 " best_remaining_ms=%" G_GINT64_FORMAT,
+                 event->server, event->holder, event->ask_id, event->work_ms,
+                 event->remaining_ms, event->best_remaining_ms);
+    }
 }
 
 static void
@@ -159,8 +178,12 @@
         return;
     }
     if (event->answer == CONTRACTS_GRANTED) {
-        note_grant(control, owned, event->holder, event->contract,
-                   admission->class_, event->slots);
+        struct control_grant *grant =
+            note_grant(control, owned, event->holder, event->contract,
+                       admission->class_, event->slots);
+        grant->work_ms = admission->work_ms;
+        grant->granted_ms = control->now_ms;
+        log_choice(event);
     }
     base_log(BASE_LOG_DEBUG, "owner.answered",
              "server=%s holder=%s ask=%" G_GINT64_MODIFIER
@@ -408,8 +431,8 @@
 }
 
 static void
-fill_admission(struct contracts_admission *out, const char *holder,
-               const Control__Ask *message)
+fill_admission(const struct control *control, struct contracts_admission *out,
+               const char *holder, const Control__Ask *message)
 {
     memset(out, 0, sizeof(*out));
     out->ask_id = message->ask_id;
@@ -422,6 +445,9 @@
     out->prefer_ms = MAX(message->prefer_ms, 0);
     out->slots = (int)CLAMP(message->slots, 1, 1000000);
     out->term_ms = MAX(message->term_ms, 0);
+    if (control->cost_routing) {
+        out->work_ms = MIN(message->work_ms, WORK_MAX_MS);
+    }
     out->renew = message->renew;
     g_strlcpy(out->preferred, message->server, sizeof(out->preferred));
     out->n_avoid = (int)MIN(message->n_avoid, CONTRACTS_MAX_AVOIDED);
@@ -468,7 +494,8 @@
         return;
     }
     received = note_admission(control, holder, message, back);
-    fill_admission(&admission, holder, message);
+    fill_admission(control, &admission, holder, message);
+    received->work_ms = admission.work_ms;
     if (message->any_server && owned->pool != NULL) {
         received->pool = owned->pool->key;
         contracts_pool_admit(owned->pool->pool, &admission, control->now_ms,
@@ -599,14 +626,22 @@
         enum contracts_class work_class =
             (enum contracts_class)held[i]->work_class;
         int slots = (int)MIN(held[i]->slots, (uint32_t)INT32_MAX);
+        struct control_grant *grant;
         if (held[i]->work_class >= CONTRACTS_N_CLASSES || slots == 0) {
             continue;
         }
         contracts_controller_report(owned->controller, holder,
                                     held[i]->contract, work_class, slots,
                                     control->now_ms, control->owner.events);
-        note_grant(control, owned, holder, held[i]->contract, work_class,
-                   slots);
+        grant = note_grant(control, owned, holder, held[i]->contract,
+                           work_class, slots);
+        if (control->cost_routing && held[i]->work_ms > 0) {
+            grant->work_ms = MIN(held[i]->work_ms, WORK_MAX_MS);
+            grant->granted_ms = control->now_ms - held[i]->elapsed_ms;
+            contracts_controller_set_work(owned->controller, held[i]->contract,
+                                          grant->work_ms, held[i]->elapsed_ms,
+                                          control->now_ms);
+        }
     }
     control_owner_deliver(control, owned);
 }
--- a/packages/control/rebuild.c
+++ b/packages/control/rebuild.c
@@ -272,7 +272,7 @@
         const struct control_held_contract *held =
             base_table_get(&control->client.held, handle);
         if (!held->is_local && strcmp(held->server, server) == 0) {
-            control_report_add(held_list, held);
+            control_report_add(control, held_list, held);
         }
     }
     report->server = g_strdup(server);
--- a/packages/control/status.c
+++ b/packages/control/status.c
@@ -45,6 +45,12 @@
             load.window, "online", load.online, "batch", load.batch, "queued",
             load.queued, "leaving",
             server != WORLD_NONE && control_is_leaving(control, server));
+        if (control->cost_routing) {
+            json_object_set_new(
+                object, "remaining_ms",
+                json_integer((json_int_t)contracts_controller_remaining(
+                    owned->controller, 0, control->now_ms)));
+        }
         json_array_append_new(list, object);
     }
     return list;
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -432,6 +432,73 @@
     }));
 }
 
+/* Returns what the owner of a server knows of its remaining work, in ms; -1:
+ * nothing, or no node owns it. */
+int64_t
+remaining_of(Fleet &fleet, size_t n_nodes, const std::string &server)
+{
+    std::string name = "\"name\":\"" + server + "\"";
+    std::string member = "\"remaining_ms\":";
+
+    for (size_t i = 0; i < n_nodes; i++) {
+        std::string status = fleet.task.read_status(fleet.at(i));
+        size_t at = status.find("\"servers\"");
+        at = at == std::string::npos ? at : status.find(name, at);
+        if (at == std::string::npos) {
+            continue;
+        }
+        size_t found = status.find(member, at);
+        if (found < status.find('}', at)) {
+            return atoll(&status[found + member.size()]);
+        }
+    }
+    return -1;
+}
+
+/* Guards against work that is lost or starts anew when a server gets another
+ * owner, with the previous owner's handover and without it, and against work
+ * that is known although routing by cost is off. */
+TEST(Control, TheNextOwnerKnowsTheRemainingWork)
+{
+    struct {
+        bool cost_routing;
+        bool is_planned;
+    } cases[] = {{true, true}, {true, false}, {false, true}};
+
+    for (const auto &row : cases) {
+        Fleet fleet(3, nullptr, row.cost_routing);
+        ASSERT_TRUE(fleet.wait_until_joined());
+        ASSERT_TRUE(fleet.apply_config(1, document(6)));
+        ASSERT_TRUE(each_has_one_owner(fleet, 6));
+        std::string server = server_owned_by(fleet, 2);
+        ASSERT_FALSE(server.empty());
+        for (int i = 0; i < 2; i++) {
+            ASSERT_EQ(fleet.task
+                          .admission(fleet.at(0), server.c_str(),
+                                     CONTRACTS_ONLINE_SHORT, 1, 0, 3200000)
+                          ->answer,
+                      CONTRACTS_GRANTED);
+        }
+        int64_t before = remaining_of(fleet, 3, server);
+        EXPECT_EQ(before > 0, row.cost_routing);
+        g_usleep(200000);
+        if (row.is_planned) {
+            control_leave(fleet.at(2));
+        }
+        else {
+            fleet.nodes.pop_back();
+        }
+        EXPECT_TRUE(fleet.task.until([&] {
+            auto owners = owners_by_server(fleet)[server];
+            int64_t after = remaining_of(fleet, 2, server);
+            bool is_moved = owners.size() == 1 && owners[0] < 2;
+            return is_moved && (row.cost_routing ? after > before / 2 : true);
+        }));
+        int64_t after = remaining_of(fleet, 2, server);
+        EXPECT_LT(after, row.cost_routing ? before : 0);
+    }
+}
+
 /* Without a handover the new owner queries all nodes for the contracts that
  * they hold, and grants without the provisional limit once all have answered.
  */
--- a/packages/control/test_support.h
+++ b/packages/control/test_support.h
@@ -71,7 +71,8 @@
     /* Requests admission and waits for the answer, which this object owns. */
     struct control_admission *
     admission(struct control *control, const char *server,
-              enum contracts_class class_, int slots = 1, int64_t wait_ms = 0)
+              enum contracts_class class_, int slots = 1, int64_t wait_ms = 0,
+              int64_t work_ms = 0)
     {
         struct control_admission *admission =
             control_admission_new(server, class_);
@@ -80,6 +81,7 @@
                   sizeof(admission->operator_name));
         admission->slots = slots;
         admission->wait_ms = wait_ms;
+        admission->work_ms = work_ms;
         admission->term_ms = class_ == CONTRACTS_BATCH ? 5000 : 0;
         admission->preempt = on_preempt;
         control_admission_send(control, admission, &task, on_answer);
@@ -110,7 +112,8 @@
     TestNode(const std::string &name_, const std::string &zone_,
              const std::string &seed_, struct platform *platform = nullptr,
              const char *traces_ = nullptr,
-             const struct world_source *origin = nullptr)
+             const struct world_source *origin = nullptr,
+             bool cost_routing = false)
         : name(name_), zone(zone_), seed(seed_)
     {
         struct base_error err = {};
@@ -129,6 +132,7 @@
         desc.listener.changed = on_change;
         desc.listener.context = this;
         desc.origin = origin;
+        desc.cost_routing = cost_routing;
         desc.seed = 1;
         control = control_start(&desc, &err);
         EXPECT_NE(control, nullptr) << err.text;
@@ -280,12 +284,14 @@
     TestTask task; /* must outlive the nodes, which reply to it */
     std::vector<std::unique_ptr<TestNode>> nodes;
 
-    explicit Fleet(int n_nodes, const char *traces = nullptr)
+    explicit Fleet(int n_nodes, const char *traces = nullptr,
+                   bool cost_routing = false)
     {
         for (int i = 0; i < n_nodes; i++) {
             nodes.push_back(std::make_unique<TestNode>(
                 "n" + std::to_string(i), i % 2 ? "etela-a" : "etela-b",
-                i ? nodes[0]->address() : "", nullptr, traces));
+                i ? nodes[0]->address() : "", nullptr, traces, nullptr,
+                cost_routing));
         }
     }
     struct control *
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -1686,7 +1686,7 @@
   (ProtobufCMessageInit) control__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor control__ask__field_descriptors[15] =
 {
   {
     "server",
@@ -1856,6 +1856,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Ask, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__ask__field_indices_by_name[] = {
   12,   /* field[12] = any_server */
@@ -1872,11 +1884,12 @@
   4,   /* field[4] = wait_ms */
   2,   /* field[2] = weight */
   3,   /* field[3] = work_class */
+  14,   /* field[14] = work_ms */
 };
 static const ProtobufCIntRange control__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor control__ask__descriptor =
 {
@@ -1886,7 +1899,7 @@
   "Control__Ask",
   "control",
   sizeof(Control__Ask),
-  14,
+  15,
   control__ask__field_descriptors,
   control__ask__field_indices_by_name,
   1,  control__ask__number_ranges,
@@ -2523,7 +2536,7 @@
   (ProtobufCMessageInit) control__yield__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__held__field_descriptors[3] =
+static const ProtobufCFieldDescriptor control__held__field_descriptors[5] =
 {
   {
     "contract",
@@ -2561,16 +2574,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Held, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Held, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__held__field_indices_by_name[] = {
   0,   /* field[0] = contract */
+  4,   /* field[4] = elapsed_ms */
   2,   /* field[2] = slots */
   1,   /* field[1] = work_class */
+  3,   /* field[3] = work_ms */
 };
 static const ProtobufCIntRange control__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor control__held__descriptor =
 {
@@ -2580,7 +2619,7 @@
   "Control__Held",
   "control",
   sizeof(Control__Held),
-  3,
+  5,
   control__held__field_descriptors,
   control__held__field_indices_by_name,
   1,  control__held__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -145,10 +145,14 @@
    */
   size_t n_avoid;
   uint64_t *avoid;
+  /*
+   * expected slot time; 0: unknown 
+   */
+  uint32_t work_ms;
 };
 #define CONTROL__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0,NULL, 0 }
 
 
 struct  Control__Answer
@@ -292,10 +296,18 @@
   uint64_t contract;
   uint32_t work_class;
   uint32_t slots;
+  /*
+   * expected slot time; 0: unknown 
+   */
+  uint32_t work_ms;
+  /*
+   * since the grant; only if work_ms is known 
+   */
+  uint32_t elapsed_ms;
 };
 #define CONTROL__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__held__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
