Learn the work of requests and items from their attempts

Cause: admissions have a field for the expected work that nobody fills.

Change: the front learns the slot time of complete, successful responses by deployment, route and the sizes that the request's headers name. The jobs task learns the number of events of an item and the time of one by deployment and route, and expects the events that are still missing. All this only if the descriptions have cost_routing.

--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -402,6 +402,7 @@
               sizeof(admission->operator_name));
     admission->wait_ms = wait_ms;
     admission->prefer_ms = preferred_grant_ms(exchange);
+    admission->work_ms = exchange_expected_work(exchange);
     admission->slots = 1;
     admission->context = attempt;
     allow_any_server(attempt, admission);
@@ -667,6 +668,8 @@
     base_span_start(&attempt->span, "backend.attempt",
                     &exchange->request->span.context);
     attempt->resumed_from = exchange->needs_resume ? exchange->tokens : 0;
+    attempt->is_resumed =
+        exchange->needs_resume || exchange->resume_after != NULL;
     headers = make_headers(attempt);
     request.headers = (const char *const *)headers->pdata;
     if (exchange->protocol != NULL) {
@@ -711,6 +714,7 @@
     if (attempt->sent_us == 0) {
         return;
     }
+    attempt_learn_work(attempt, base_clock_us());
     attempt->sent_us = 0;
     if (attempt->server != WORLD_NONE) {
         struct contracts_outcome unreported = outcome;
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -69,6 +69,7 @@
     char content_type[FRONT_NAME_SIZE];
     bool is_event_stream;
     enum base_verdict verdict; /* valid when the call has ended */
+    bool is_resumed;           /* the response continues an earlier one */
     int resumed_from;          /* number of the first token requested */
     bool has_finish_reason;    /* a chunk with a finish_reason arrived */
     /* The user of the exchange fills these; attempt_free frees them. */
@@ -122,6 +123,10 @@
     int64_t first_output_ms;  /* timeout of first event or byte; 0: default */
     const char *resume_after; /* id of the last event; NULL: none */
     struct quarantine_parts parts; /* of the prompt, at the deployment */
+    /* for the estimate of the work; site protocol only */
+    char route[FRONT_NAME_SIZE];
+    int input_tokens;  /* of the prompt; 0: unknown */
+    int output_tokens; /* upper limit; 0: unknown */
     /* progress */
     struct attempt *active[EXCHANGE_MAX_PARALLEL]; /* NULL: none */
     struct attempt *winner; /* its response goes to the caller */
@@ -170,6 +175,10 @@
 void attempt_release_contract(struct attempt *attempt, bool is_servers_fault);
 void attempt_free(struct attempt *attempt);
 
+/* cost.c, called by attempt.c */
+int64_t exchange_expected_work(struct exchange *exchange);
+void attempt_learn_work(const struct attempt *attempt, int64_t now_us);
+
 /* exchange.c, called by attempt.c */
 void exchange_sync_world(struct exchange *exchange);
 bool exchange_refuse_if_blocked(struct exchange *exchange);
--- a/packages/front/front.h
+++ b/packages/front/front.h
@@ -51,6 +51,7 @@
     const char *const *site_addresses;
     int n_site_addresses;
     struct jobs *jobs;
+    bool cost_routing; /* estimates the work of requests for admission */
 };
 
 struct front *front_start(const struct front_desc *desc,
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -14,6 +14,7 @@
 #include "front/protocol.h"
 #include "front/front.h"
 #include "place/place.h"
+#include "work/work.h"
 
 enum {
     FRONT_ID_SIZE = 80,
@@ -60,6 +61,20 @@
     GQueue open; /* of struct front_raw_connection, by link */
 };
 
+/* ---- the work of requests (cost.c) ---- */
+
+struct front_cost {
+    bool is_enabled;
+    struct work_estimator estimator;
+    /* admissions with and without an estimate; NULL unless is_enabled */
+    struct base_counter *n_known;
+    struct base_counter *n_unknown;
+};
+
+void front_cost_init(struct front *front, bool is_enabled,
+                     struct base_counters *counters);
+void front_cost_finish(struct front *front);
+
 /* ---- the task (front.c) ---- */
 
 struct front {
@@ -79,6 +94,7 @@
     struct batch *batch;
     struct base_tracer *tracer;
     struct front_metrics metrics;
+    struct front_cost cost;
     struct lws_context *lws;
     struct lws_vhost *vhost;
     lws_sorted_usec_list_t tick;
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -481,6 +481,9 @@
     }
     protocol->read_prompt(get_header, request, &prompt);
     exchange->choice.prefix_key = prompt.shared_key;
+    g_strlcpy(exchange->route, route->name, sizeof(exchange->route));
+    exchange->input_tokens = prompt.input_tokens;
+    exchange->output_tokens = prompt.output_tokens;
     if (protocol->read_parts != NULL) {
         protocol->read_parts(get_header, request, &exchange->parts);
     }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -22,6 +22,9 @@
 read_prompt(const char *(*header)(const void *, const char *),
             const void *context, struct front_protocol_prompt *out)
 {
+    const char *limit = header(context, "x-output");
+
+    out->output_tokens = limit == nullptr ? 0 : atoi(limit);
 }
 
 /* The header x-parts lists letters; the last one is the request's own. */
@@ -226,6 +229,66 @@
     EXPECT_EQ(seen.substr(seen.find("\r\n\r\n") + 4), "body");
 }
 
+/* Sends requests of two sizes, resumed and failing ones, and returns the
+ * expected work in the admissions of the first request, and then of one of
+ * each size. */
+std::vector<int64_t>
+learn_work(Ingress &site)
+{
+    struct test_server engine([&](int fd, const std::string &request) {
+        bool is_odd = !test_header(request, "x-fail").empty() ||
+                      !test_header(request, "last-event-id").empty();
+        g_usleep(is_odd ? 200000 : 0);
+        if (!test_header(request, "x-fail").empty()) {
+            test_write(fd, "HTTP/1.1 500 No\r\nx-id: q1\r\n"
+                           "content-length: 0\r\n\r\n");
+            return;
+        }
+        g_usleep(test_header(request, "x-output") == "900" ? 60000 : 15000);
+        serve_stream(fd, request);
+    });
+    const std::string large = post("/a/", "body", "x-output: 900\r\n");
+    const std::string small = post("/a/", "body", "x-output: 100\r\n");
+    const std::string resumed =
+        post("/a/", "body", "x-output: 900\r\nlast-event-id: 1\r\n");
+    const std::string failing =
+        post("/a/", "body", "x-output: 100\r\nx-fail: 1\r\n");
+
+    site.begin({&engine});
+    for (int i = 0; i < 8; i++) {
+        site.ask(large);
+        site.ask(small);
+    }
+    for (int i = 0; i < 4; i++) {
+        site.ask(resumed);
+        site.ask(failing);
+    }
+    site.ask(large);
+    site.ask(small);
+    std::lock_guard<std::mutex> guard(fakes.lock);
+    size_t n = fakes.admissions.size();
+    return {fakes.admissions[0].work_ms, fakes.admissions[n - 2].work_ms,
+            fakes.admissions[n - 1].work_ms};
+}
+
+/* Guards against estimates that failed or resumed attempts distort, or that
+ * mix the size classes. */
+TEST_F(Ingress, AdmissionsHaveTheWorkThatCompleteResponsesTook)
+{
+    desc.cost_routing = true;
+    auto works = learn_work(*this);
+    EXPECT_EQ(works[0], 0);
+    EXPECT_GE(works[1], 60);
+    EXPECT_LT(works[1], 100);
+    EXPECT_GE(works[2], 15);
+    EXPECT_LT(works[2], 60);
+}
+
+TEST_F(Ingress, AdmissionsHaveNoWorkWhileRoutingByCostIsOff)
+{
+    EXPECT_EQ(learn_work(*this), (std::vector<int64_t>{0, 0, 0}));
+}
+
 TEST_F(Ingress, WhatServersSayOfThemselvesIsNoted)
 {
     static const struct {
--- a/packages/jobs/admission.c
+++ b/packages/jobs/admission.c
@@ -169,6 +169,7 @@
     admission = control_admission_new(work->server_name, CONTRACTS_BATCH);
     admission->wait_ms = wait_ms;
     admission->prefer_ms = MAX(work->run->due_at_ms - base_wall_ms(), 0);
+    admission->work_ms = jobs_cost_expected(work, server);
     admission->slots = 1;
     admission->any_server = true;
     admission->term_ms = TERM_MS;
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -49,6 +49,7 @@
                 (now_us - work->first_event_us) / (n_new_events - 1);
         }
     }
+    jobs_cost_learn_time(work, now_us);
     if (server != WORLD_NONE) {
         jobs->place->ops->outcome(jobs->place, server, &outcome,
                                   base_clock_ms());
@@ -147,6 +148,7 @@
 apply_result(struct jobs_work *work, const struct backends_result *result)
 {
     if (is_complete_output(work, result)) {
+        jobs_cost_learn_events(work);
         jobs_run_item_done(work->run, work, true);
         return;
     }
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -470,6 +470,7 @@
     jobs->read_parts = desc->read_parts;
     jobs->lease_ms = desc->lease_ms > 0 ? desc->lease_ms : LEASE_MS;
     make_counters(jobs, desc->counters);
+    jobs_cost_init(jobs, desc->cost_routing, desc->counters);
 }
 
 static bool
@@ -528,6 +529,7 @@
         lws_context_destroy(jobs->lws);
     }
     place_free(jobs->place);
+    jobs_cost_finish(jobs);
     g_hash_table_destroy(jobs->runs);
     g_hash_table_destroy(jobs->pending_ids);
     g_hash_table_destroy(jobs->runners);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -189,6 +189,7 @@
     void (*read_parts)(const char *(*header)(const void *context,
                                              const char *name),
                        const void *context, struct quarantine_parts *out);
+    bool cost_routing;       /* estimates the work of items for admission */
     const char *rpc_address; /* "IP:port" for RPCs between nodes; NULL: none */
     /* CURVE keys of the RPC endpoint; NULL: no CURVE */
     const char *public_key_file;
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -19,6 +19,7 @@
  *   claim.c      claims of these jobs
  *   item.c       an attempt of one item at a backend server
  *   admission.c  admission requests for items
+ *   cost.c       estimates of the work of items
  *   events.c     collection of streams of server-sent events
  *   rpc.c        RPCs between nodes, on a task of their own
  */
@@ -35,6 +36,7 @@
 #include "jobs/rpc.h"
 #include "jobs/runner_state.h"
 #include "place/place.h"
+#include "work/work.h"
 
 enum {
     JOBS_TICK_MS = 50,
@@ -130,6 +132,16 @@
     struct jobs_homes nodes;
 };
 
+/* What is known of the work of items; see cost.c. */
+struct jobs_cost {
+    bool is_enabled;
+    struct work_estimator events;      /* number of events of an item */
+    struct work_estimator event_times; /* slot time of an event, in ms */
+    /* admissions with and without an estimate; NULL unless is_enabled */
+    struct base_counter *n_known;
+    struct base_counter *n_unknown;
+};
+
 /* The jobs task. */
 struct jobs {
     struct base_task task;
@@ -194,6 +206,7 @@
                                    its entry, of int64_t */
     GHashTable *orphaned_since; /* job to the time of the first scan that found
                                    it without a runner, of int64_t */
+    struct jobs_cost cost;
     /* metrics */
     struct base_counter *n_accepted;
     struct base_counter *n_refusals_stored;
@@ -313,4 +326,13 @@
 void jobs_work_cancel(struct jobs_work *work);
 void jobs_preempt(void *task_state, uint64_t contract, int slots);
 
+/* ---- cost.c ---- */
+
+void jobs_cost_init(struct jobs *jobs, bool is_enabled,
+                    struct base_counters *counters);
+void jobs_cost_finish(struct jobs *jobs);
+int64_t jobs_cost_expected(struct jobs_work *work, int server);
+void jobs_cost_learn_time(struct jobs_work *work, int64_t now_us);
+void jobs_cost_learn_events(struct jobs_work *work);
+
 #endif
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -45,8 +45,9 @@
     std::map<uint64_t, struct control_admission> held;
     uint64_t next_contract = 1;
     void (*preempt)(void *, uint64_t, int) = nullptr;
-    int n_busy_answers = 0; /* next admission requests, answered busy */
-    int n_queued = 0;       /* admission requests that allowed waiting */
+    int n_busy_answers = 0;     /* next admission requests, answered busy */
+    int n_queued = 0;           /* admission requests that allowed waiting */
+    std::vector<int64_t> works; /* expected work of the admission requests */
     std::function<void(const std::string &)> on_admission;
 };
 
@@ -389,6 +390,7 @@
         fake->on_admission(admission->server);
     }
     fake->n_queued += admission->wait_ms > 0 ? 1 : 0;
+    fake->works.push_back(admission->work_ms);
     if (fake->n_busy_answers > 0) {
         fake->n_busy_answers--;
         admission->answer = CONTRACTS_BUSY;
@@ -507,6 +509,7 @@
     struct base_counters counters;
     int64_t limit = 0;
     int64_t known_value_bytes = 1 << 20; /* limit of a value, to the nodes */
+    bool cost_routing = false;
 
     explicit Site(test_server::script script = serve, int64_t limit = 0)
         : engine(script), limit(limit)
@@ -614,6 +617,7 @@
                       421,    "x-limit",  "x-leaving"};
         desc.decode = decode;
         desc.lease_ms = 600;
+        desc.cost_routing = site.cost_routing;
         desc.life = (int64_t)member().life;
         desc.rpc_address =
             member().address.empty() ? nullptr : member().address.c_str();
@@ -1185,6 +1189,44 @@
     EXPECT_EQ(n_runs, 2);
 }
 
+/* Guards against an estimate that ignores the events that an item has had
+ * already, and against any estimate while the setting is off. */
+TEST(Jobs, AdmissionsHaveTheWorkThatIsLeftOfAnItem)
+{
+    for (bool is_on : {false, true}) {
+        std::atomic<bool> is_broken{false};
+        Site site([&](int fd, const std::string &request) {
+            int after = atoi(test_header(request, "last-id").c_str());
+            std::string text = head(request);
+            g_usleep((useconds_t)(20 - after) * 2000);
+            for (int i = after + 1; i <= 20; i++) {
+                if (i > 10 && is_broken.exchange(false)) {
+                    test_write(fd, text);
+                    return;
+                }
+                text += chunk(event(i));
+            }
+            test_write(fd, text + "0\r\n\r\n");
+        });
+        site.cost_routing = is_on;
+        Node node(site, "n1");
+        ASSERT_EQ(node.submit("j", "a b c d e f g h"), JOBS_OK);
+        ASSERT_EQ(node.wait_for("j", 8).size(), 8u);
+        is_broken = true;
+        ASSERT_EQ(node.submit("k", "a"), JOBS_OK);
+        ASSERT_EQ(node.wait_for("k", 1).size(), 1u);
+        std::lock_guard<std::mutex> guard(site.store.lock);
+        const auto &works = site.store.works;
+        ASSERT_GE(works.size(), 10u);
+        int64_t full = works[works.size() - 2];
+        int64_t left = works.back();
+        EXPECT_EQ(works[0], 0);
+        EXPECT_EQ(full >= 40, is_on) << full;
+        EXPECT_EQ(left > full / 3 && left < full * 2 / 3, is_on) << left;
+        EXPECT_EQ(left == 0, !is_on);
+    }
+}
+
 /* The route allows 250 waiting tokens, and each item has 100. */
 TEST(Jobs, AJobOverTheLimitOfWaitingTokensIsRefused)
 {
