Add the setting site.cost_routing

Cause: a site has to choose whether its requests are routed by cost.

Change: site.cost_routing (boolean, false unless set) is passed to control, jobs and the front.

--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -167,6 +167,7 @@
         .may_retire = settings->site.may_retire,
         .is_first_start = settings->site.is_first_start,
         .rate_tolerance = settings->site.rate_tolerance,
+        .cost_routing = settings->site.cost_routing,
     };
 
     node->control = control_start(&desc, err);
@@ -234,6 +235,7 @@
                   .misdirected_status = protocol->misdirected_status},
         .decode = protocol->decode_job,
         .read_parts = protocol->read_parts,
+        .cost_routing = settings->site.cost_routing,
         .life = node->life,
         .rpc_address = settings->site.jobs,
         .public_key_file = settings->public_key_file,
@@ -267,6 +269,7 @@
         .protocol = node->adapter->protocol,
         .site_addresses = addresses,
         .jobs = node->jobs,
+        .cost_routing = settings->site.cost_routing,
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(listed); i++) {
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -29,8 +29,9 @@
     "announce", "source",      "site",         "cpu",      NULL,
 };
 static const char *const SITE_MEMBERS[] = {
-    "callers",  "probes",     "metrics",     "jobs",           "zones",
-    "watchers", "may_retire", "first_start", "rate_tolerance", NULL};
+    "callers",        "probes",       "metrics",    "jobs",
+    "zones",          "watchers",     "may_retire", "first_start",
+    "rate_tolerance", "cost_routing", NULL};
 static const char *const TOLERANCE_MEMBERS[] = {"window_s", "overage", "slack",
                                                 NULL};
 static const char *const HTTP_MEMBERS[] = {"address", "port", "certificate",
@@ -418,6 +419,7 @@
     site->is_set = true;
     if (!read_flag(json, "may_retire", &site->may_retire, err) ||
         !read_flag(json, "first_start", &site->is_first_start, err) ||
+        !read_flag(json, "cost_routing", &site->cost_routing, err) ||
         !check_members(json, "$.site", SITE_MEMBERS, err) ||
         !read_rate_tolerance(site, json, err) ||
         !read_address(json, "$.site", "callers", MEMBER_OPTIONAL,
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -24,6 +24,25 @@
     node_settings_finish(&settings);
 }
 
+/* Guards against a site that routes by cost without being told to. */
+TEST(Settings, CostRoutingIsOffUnlessItIsSet)
+{
+    for (const char *member :
+         {"", "\"cost_routing\":false,", "\"cost_routing\":true,"}) {
+        std::string text = VALID;
+        text.insert(1, std::string("\"site\":{") + member +
+                           "\"zones\":{\"etela-a\":\"etela\"}},");
+        struct node_settings settings;
+        struct base_error err = {BASE_OK, ""};
+        ASSERT_TRUE(
+            node_settings_parse(&settings, text.c_str(), text.size(), &err))
+            << err.text;
+        EXPECT_EQ(settings.site.cost_routing,
+                  strstr(member, "true") != nullptr);
+        node_settings_finish(&settings);
+    }
+}
+
 /* Each invalid settings text must be refused with an error that begins with
  * the path of the faulty member, and that gives the value found and the values
  * allowed. */
@@ -63,6 +82,9 @@
          "$.cpu.cores", "found 0", "from 1 to 4096"},
         {"\"platform\"", "\"cpu\":{\"share\":0.2,\"speed\":1},\"platform\"",
          "$.cpu.speed", "unknown", "share, cores"},
+        {"\"platform\"",
+         "\"site\":{\"cost_routing\":1,\"zones\":{\"a\":\"r\"}},\"platform\"",
+         "$.site.cost_routing", "found 1", "true or false"},
         {"}}", "}", "line 1", "column", "not valid JSON"},
     };
     for (const auto &row : cases) {
