--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -284,8 +284,7 @@
 
 /* Chooses the server that would be done with its work and the request first,
  * or the preferred one if that takes it longer by at most the work of the
- * request.  Only then is it worth more to leave a server that is slow, or has
- * much to do, than to keep requests with a common prefix together. */
+ * request: it may have the prefix of the prompt cached. */
 static struct choice
 choose_by_work(const struct contracts_pool *pool,
                const struct contracts_admission *admission, int64_t now_ms)
