Grant a share of the rates where half of the nodes have just died

Cause: after a split of the network each part has a limiter of its own, and both together may admit twice the rate.

Change: limiters grant only the share of the nodes left, for a minute, if at least half of the nodes have died at once. The accounts' locks are pthread mutexes.

--- a/packages/allowance/limiter.c
+++ b/packages/allowance/limiter.c
@@ -11,6 +11,7 @@
     LOW_MS = 2500,
     NOTICE_MS = 1000,       /* interval between notices while low */
     MIN_NOTICE_MS = 50,     /* shortest interval between notices */
+    CHANGE_NOTICE_MS = 150, /* the same, if only the fraction changes */
     RETENTION_MS = 60000,   /* of nodes that no longer report */
     EXPIRY_MS = 10000,      /* interval between removals */
     MAX_SEEN_STEP = 100000, /* larger differences are taken for errors */
@@ -273,8 +274,12 @@
     if ((before >= 1 && next >= 1) || since_ms < MIN_NOTICE_MS) {
         return false;
     }
-    return (before < 1) != (next < 1) || since_ms >= NOTICE_MS ||
-           next > before * NOTICED_STEP || next * NOTICED_STEP < before;
+    if ((before < 1) != (next < 1)) {
+        return true;
+    }
+    return since_ms >= NOTICE_MS ||
+           (since_ms >= CHANGE_NOTICE_MS &&
+            (next > before * NOTICED_STEP || next * NOTICED_STEP < before));
 }
 
 /* Returns true, with the state to send, when all nodes are to be notified.
--- a/packages/allowance/test_allowance.cc
+++ b/packages/allowance/test_allowance.cc
@@ -255,6 +255,7 @@
     std::multimap<int64_t, std::function<void()>> queue;
     int64_t now_ms = 0;
     int64_t n_sent = 0;
+    std::map<std::pair<int, int64_t>, int> sent; /* by node and second */
     std::set<std::pair<int, int>> connected;
     int dead = -1;
 
@@ -271,6 +272,7 @@
           int64_t extra_ms = 0)
     {
         n_sent++;
+        sent[{from, now_ms / 1000}]++;
         if (from != dead && to != dead) {
             queue.emplace(now_ms + extra_ms + delay(from, to), receive);
         }
@@ -555,6 +557,7 @@
     double n_offered = 0;
     double n_wrong = 0; /* refused though the exact bucket was not empty */
     double messages_per_s = 0;
+    int most_sent = 0; /* messages of one node in a second */
 
     void
     count(int op, bool is_admitted, int64_t now_ms)
@@ -583,6 +586,7 @@
     {
         excess = std::max(excess, other.excess);
         messages_per_s = std::max(messages_per_s, other.messages_per_s);
+        most_sent = std::max(most_sent, other.most_sent);
         n_offered += other.n_offered;
         n_wrong += other.n_wrong;
     }
@@ -642,6 +646,9 @@
         held.resize(is_frozen ? held.size() : 0);
         policy.tick();
     }
+    for (const auto &entry : net.sent) {
+        score.most_sent = std::max(score.most_sent, entry.second);
+    }
     score.messages_per_s = net.n_sent / (END_MS / 1000.0);
     return score;
 }
@@ -657,14 +664,17 @@
         sum.add(play<P>(scenario, seed));
     }
     printf("%-6s %3d nodes, %-25s: window %+6.1f, wrong %.4f%%, "
-           "%4.0f messages/s\n",
+           "%4.0f messages/s, %3d of one node\n",
            policy, scenario.n_nodes, scenario.text, sum.excess,
-           100 * sum.n_wrong / sum.n_offered, sum.messages_per_s);
+           100 * sum.n_wrong / sum.n_offered, sum.messages_per_s,
+           sum.most_sent);
     return sum;
 }
 
 /* Guards against admitting more than the bound and refusing requests within
- * the limit; the method used before fails at both. */
+ * the limit; the method used before fails at both.  A limiter that is lost
+ * while its operator sends too much leaves the next one without its level, so
+ * more requests may be refused then. */
 TEST(AllowanceSimulation, KeepsTheBoundAndRefusesHardlyAnyWithinIt)
 {
     static const struct {
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -546,6 +546,7 @@
 void control_rates_update(struct control *control);
 int control_rates_tick(struct control *control);
 void control_rates_leave(struct control *control);
+double control_rates_split_share(const struct control_rates *rates);
 bool control_rates_allow(struct control_rates *rates,
                          const char *operator_name, int count);
 int64_t control_rates_retry_ms(struct control_rates *rates,
--- a/packages/control/limiters.c
+++ b/packages/control/limiters.c
@@ -134,17 +134,36 @@
     return control_key(self->name, self->life);
 }
 
+/* What the buckets here may grant of an operator's limit and tolerance. */
+struct grantable {
+    struct allowance_limit limit;
+    struct allowance_tolerance tolerance;
+};
+
+static struct grantable
+find_grantable(struct control *control, const struct world_operator *config)
+{
+    double share = control_rates_split_share(control->rates);
+    struct grantable grantable = {
+        .limit = {config->requests_per_s * share, config->burst * share},
+        .tolerance = control->rate_tolerance,
+    };
+
+    grantable.tolerance.slack *= share;
+    return grantable;
+}
+
 static struct allowance_limiter *
 find_limiter(struct control *control, const struct world_operator *config)
 {
-    struct allowance_limit limit = {config->requests_per_s, config->burst};
     struct allowance_limiter *limiter =
         g_hash_table_lookup(control->limiters, config->name);
 
     if (limiter == NULL) {
+        struct grantable grantable = find_grantable(control, config);
         limiter = g_new0(struct allowance_limiter, 1);
-        allowance_limiter_init(limiter, limiter_id(control), &limit,
-                               &control->rate_tolerance, control->now_ms);
+        allowance_limiter_init(limiter, limiter_id(control), &grantable.limit,
+                               &grantable.tolerance, control->now_ms);
         g_hash_table_insert(control->limiters, g_strdup(config->name),
                             limiter);
     }
@@ -171,21 +190,19 @@
 {
     struct control *control = data;
     int index = world_find_operator(control->world, key);
-    const struct world_operator *config;
-    struct allowance_limit limit;
+    struct grantable grantable;
 
     if (index == WORLD_NONE ||
         control->world->operators[index].requests_per_s <= 0) {
         return TRUE;
     }
-    config = &control->world->operators[index];
-    limit = (struct allowance_limit){config->requests_per_s, config->burst};
-    allowance_limiter_set_limit(value, &limit, &control->rate_tolerance,
+    grantable = find_grantable(control, &control->world->operators[index]);
+    allowance_limiter_set_limit(value, &grantable.limit, &grantable.tolerance,
                                 control->now_ms);
     return FALSE;
 }
 
-/* Applies the limits of a new configuration to the buckets. */
+/* Applies changed limits to the buckets. */
 void
 control_limiters_update(struct control *control)
 {
--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -13,6 +13,9 @@
     PAUSE_MS = 150,
     MAX_WAIT_MS = 1000,
     LOG_INTERVAL_MS = 1000,
+    /* Nodes that died so recently may be on the other side of a split of the
+     * network, still admitting requests. */
+    SPLIT_MS = 60000,
 };
 
 static const double MAX_CREDIT = 1e9;
@@ -22,7 +25,7 @@
 /* An operator's rate limit at this node. */
 struct rate {
     char *name;
-    GMutex lock; /* protects `account` and `n_refused` */
+    pthread_mutex_t lock; /* protects `account` and `n_refused` */
     struct allowance_account account;
     int64_t n_refused; /* since the last log line */
     /* The rest belongs to the control task. */
@@ -37,6 +40,8 @@
     uint64_t version;
     int n_accepting;
     int most_cpu_milli;
+    int n_dead; /* that accepted work until up to SPLIT_MS ago */
+    int64_t expires_ms;
 };
 
 struct control_rates {
@@ -50,7 +55,9 @@
     uint64_t choice;  /* changes with the view and with `lost` */
     uint64_t next_instance;
     struct candidates candidates;
-    int64_t due_ms; /* next round, on base_clock_ms; atomic */
+    GHashTable *deaths; /* name of a node that has accepted work to the time of
+                           its death, int64_t; 0: alive */
+    int64_t due_ms;     /* next round, on base_clock_ms; atomic */
     int64_t last_round_ms;
     struct base_counter *admitted;
     struct base_counter *refused;
@@ -63,7 +70,7 @@
 free_rate(gpointer data)
 {
     struct rate *rate = data;
-    g_mutex_clear(&rate->lock);
+    pthread_mutex_destroy(&rate->lock);
     g_free(rate->name);
     g_free(rate);
 }
@@ -83,6 +90,8 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free, NULL);
     rates->lost =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rates->deaths =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     rates->due_ms = ALLOWANCE_NEVER;
     rates->next_instance = (uint64_t)base_wall_us();
     rates->admitted = base_counter(counters, "rate_admitted_total");
@@ -99,6 +108,7 @@
 {
     g_hash_table_destroy(rates->pending_requests);
     g_hash_table_destroy(rates->lost);
+    g_hash_table_destroy(rates->deaths);
     g_hash_table_destroy(rates->by_name);
     pthread_rwlock_destroy(&rates->lock);
     g_free(rates);
@@ -154,11 +164,11 @@
         pthread_rwlock_unlock(&rates->lock);
         return true;
     }
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     verdict = allowance_admit(&rate->account, count, base_clock_ms());
     rate->n_refused += verdict == ALLOWANCE_REFUSED ? count : 0;
     due_ms = allowance_due_ms(&rate->account);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
     pthread_rwlock_unlock(&rates->lock);
     if (set_due(rates, due_ms)) {
         base_task_wake_fd(&rates->control->task);
@@ -178,9 +188,9 @@
     pthread_rwlock_rdlock(&rates->lock);
     rate = g_hash_table_lookup(rates->by_name, operator_name);
     if (rate != NULL) {
-        g_mutex_lock(&rate->lock);
+        pthread_mutex_lock(&rate->lock);
         retry_ms = allowance_retry_ms(&rate->account, base_clock_ms());
-        g_mutex_unlock(&rate->lock);
+        pthread_mutex_unlock(&rate->lock);
     }
     pthread_rwlock_unlock(&rates->lock);
     return retry_ms;
@@ -199,7 +209,7 @@
         rate = g_new0(struct rate, 1);
         rate->name = g_strdup(config->name);
         rate->limiter = WORLD_NONE;
-        g_mutex_init(&rate->lock);
+        pthread_mutex_init(&rate->lock, NULL);
         /* Each account has an instance of its own, since its totals start
          * at 0. */
         allowance_account_init(&rate->account, rates->next_instance++,
@@ -208,10 +218,10 @@
                                     MAX(control->view->n_nodes, 1));
         g_hash_table_insert(rates->by_name, rate->name, rate);
     }
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     allowance_account_set_limit(&rate->account, &limit,
                                 &control->rate_tolerance, control->now_ms);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
 }
 
 static gboolean
@@ -242,25 +252,83 @@
 
 /* ---- choice of the limiter ---- */
 
+/* Returns the time of a node's death, as seen here; 0: it is alive, has left
+ * or has not accepted work before. */
+static int64_t
+death_ms(struct control *control, const struct members_node *node)
+{
+    GHashTable *deaths = control->rates->deaths;
+    int64_t *at_ms = g_hash_table_lookup(deaths, node->name);
+
+    if (members_accepts_work(node)) {
+        if (at_ms == NULL) {
+            at_ms = g_new(int64_t, 1);
+            g_hash_table_insert(deaths, g_strdup(node->name), at_ms);
+        }
+        *at_ms = 0;
+        return 0;
+    }
+    if (node->state != MEMBERS_DEAD) {
+        g_hash_table_remove(deaths, node->name);
+        return 0;
+    }
+    if (at_ms != NULL && *at_ms == 0) {
+        *at_ms = control->now_ms;
+    }
+    return at_ms == NULL ? 0 : *at_ms;
+}
+
+static void
+count_node(struct control *control, const struct members_node *node,
+           struct candidates *found)
+{
+    int64_t until_ms = death_ms(control, node) + SPLIT_MS;
+
+    if (members_accepts_work(node)) {
+        found->n_accepting++;
+        found->most_cpu_milli = MAX(found->most_cpu_milli, node->cpu_milli);
+    }
+    else if (until_ms > SPLIT_MS && until_ms > control->now_ms) {
+        found->n_dead++;
+        found->expires_ms = MIN(found->expires_ms, until_ms);
+    }
+}
+
 static void
 find_candidates(struct control *control)
 {
     const struct members_view *view = control->view;
     struct control_rates *rates = control->rates;
-    struct candidates found = {.version = view->version};
+    struct candidates found = {.version = view->version,
+                               .expires_ms = INT64_MAX};
+    double before = control_rates_split_share(rates);
 
-    if (rates->candidates.version == view->version && rates->choice > 0) {
+    if (rates->candidates.version == view->version && rates->choice > 0 &&
+        control->now_ms < rates->candidates.expires_ms) {
         return;
     }
     for (int i = 0; i < view->n_nodes; i++) {
-        if (members_accepts_work(&view->nodes[i])) {
-            found.n_accepting++;
-            found.most_cpu_milli =
-                MAX(found.most_cpu_milli, view->nodes[i].cpu_milli);
-        }
+        count_node(control, &view->nodes[i], &found);
     }
     rates->candidates = found;
     rates->choice++;
+    if (control_rates_split_share(rates) != before) {
+        control_limiters_update(control);
+    }
+}
+
+/* Returns the part of the rates that the limiters here may grant.  If at least
+ * half of the nodes have died at once, as seen here, the network may be split,
+ * with limiters on either side. */
+double
+control_rates_split_share(const struct control_rates *rates)
+{
+    int n_accepting = rates->candidates.n_accepting;
+    int n_all = n_accepting + rates->candidates.n_dead;
+
+    return 2 * n_accepting > n_all || n_all == 0
+               ? 1
+               : (double)MAX(n_accepting, 1) / n_all;
 }
 
 static bool
@@ -412,10 +480,10 @@
     if (rate == NULL || rate->account.instance != request->report.instance) {
         return;
     }
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     allowance_answered(&rate->account, &request->report, answer,
                        control->now_ms);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
 }
 
 static void
@@ -480,14 +548,14 @@
     bool is_unanswered;
 
     base_counter_add(control->rates->reports, 1);
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     is_unanswered = allowance_is_alone(&rate->account, control->now_ms);
     if (is_unanswered) {
         note_lost(control, rate->limiter_name);
     }
     update_limiter(control, rate);
     allowance_report(&rate->account, control->now_ms, &out);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
     if (rate->limiter == WORLD_NONE) {
         return;
     }
@@ -496,9 +564,9 @@
         return;
     }
     control_limiter_report(control, rate->name, control->node, &out, &answer);
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     allowance_answered(&rate->account, &out, &answer, control->now_ms);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
 }
 
 static void
@@ -506,10 +574,10 @@
 {
     int64_t n_refused;
 
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     n_refused = rate->n_refused;
     rate->n_refused = control->now_ms < rate->next_log_ms ? n_refused : 0;
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
     if (n_refused > 0 && control->now_ms >= rate->next_log_ms) {
         base_log(BASE_LOG_NOTICE, "rate.refused",
                  "operator=%s requests=%" PRId64, rate->name, n_refused);
@@ -522,9 +590,9 @@
 {
     int64_t due_ms;
 
-    g_mutex_lock(&rate->lock);
+    pthread_mutex_lock(&rate->lock);
     due_ms = allowance_due_ms(&rate->account);
-    g_mutex_unlock(&rate->lock);
+    pthread_mutex_unlock(&rate->lock);
     return due_ms;
 }
 
@@ -545,10 +613,10 @@
     g_hash_table_iter_init(&iter, rates->by_name);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct rate *rate = value;
-        g_mutex_lock(&rate->lock);
+        pthread_mutex_lock(&rate->lock);
         allowance_account_limiter_changed(&rate->account);
         set_due(rates, allowance_due_ms(&rate->account));
-        g_mutex_unlock(&rate->lock);
+        pthread_mutex_unlock(&rate->lock);
     }
 }
 
@@ -562,6 +630,7 @@
     gpointer value;
 
     __atomic_store_n(&rates->due_ms, ALLOWANCE_NEVER, __ATOMIC_RELAXED);
+    find_candidates(control);
     if (g_hash_table_foreach_remove(rates->lost, is_retried, control) > 0) {
         rates->choice++;
     }
@@ -622,9 +691,9 @@
     struct rate *rate = g_hash_table_lookup(rates->by_name, operator_name);
 
     if (rate != NULL) {
-        g_mutex_lock(&rate->lock);
+        pthread_mutex_lock(&rate->lock);
         allowance_noticed(&rate->account, state, now_ms);
-        g_mutex_unlock(&rate->lock);
+        pthread_mutex_unlock(&rate->lock);
     }
 }
 
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -825,6 +825,34 @@
     EXPECT_GE(n_admitted, N_OPERATORS * expected * 0.9);
 }
 
+/* A node that is cut off from all others must not grant the whole rate, which
+ * the others grant as well. */
+TEST(Control, ANodeCutOffGrantsItsPartOfARate)
+{
+    Fleet fleet(3);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    ASSERT_TRUE(fleet.apply_config(
+        1, document(1, R"([{"name": "o", "requests_per_s": 60}])")));
+    control_rate_allow(fleet.at(0), "o", 1);
+    BlockedNode second(fleet.at(1), &fleet.task.task);
+    BlockedNode third(fleet.at(2), &fleet.task.task);
+    ASSERT_TRUE(fleet.task.until([&] {
+        std::string status = fleet.task.read_status(fleet.at(0));
+        size_t at = status.find("\"dead\"");
+        return at != std::string::npos &&
+               status.find("\"dead\"", at + 1) != std::string::npos;
+    }));
+    int n_admitted = 0;
+    int64_t start_ms = base_clock_ms();
+    while (base_clock_ms() < start_ms + 3000) {
+        n_admitted += control_rate_allow(fleet.at(0), "o", 1);
+        g_usleep(10000);
+    }
+    /* 20 a second, a burst of 40 and an overdraft of 8. */
+    EXPECT_LE(n_admitted, 20 * 3 + 40 + 8 + 5);
+    EXPECT_GE(n_admitted, 20 * 3);
+}
+
 /* Returns the string value of the first JSON member of that name at or after
  * offset `from`, or "" if there is none. */
 std::string
