Pass over servers that fail the requests of several nodes

Cause: the owner of a pool grants the server with the most room. A server that fails requests at once always has the most, so it drew in the requests of all nodes; a node that saw the failure kept away from it, but the owner's choice goes before that.

Change: each controller has a circuit breaker, fed by the outcomes that holders report with their releases. Pools pass over such servers while at most half of theirs fail.

--- a/packages/contracts/circuit.c
+++ b/packages/contracts/circuit.c
@@ -15,12 +15,11 @@
 open_circuit(struct circuit *circuit, int64_t now_ms)
 {
     bool is_repeated =
-        circuit->is_open || (circuit->closed_ms != 0 &&
-                             now_ms - circuit->closed_ms < REPEAT_MS);
+        circuit->is_open ||
+        (circuit->closed_ms != 0 && now_ms - circuit->closed_ms < REPEAT_MS);
 
-    circuit->length_ms = is_repeated
-                             ? MIN(2 * circuit->length_ms, MAX_OPEN_MS)
-                             : FIRST_OPEN_MS;
+    circuit->length_ms =
+        is_repeated ? MIN(2 * circuit->length_ms, MAX_OPEN_MS) : FIRST_OPEN_MS;
     circuit->is_open = true;
     circuit->opened_ms = now_ms;
     circuit->until_ms = now_ms + circuit->length_ms;
@@ -36,7 +35,8 @@
     }
 }
 
-/* Records that the server answered a request that was granted at granted_ms. */
+/* Records that the server answered a request that was granted at granted_ms.
+ */
 void
 circuit_record_success(struct circuit *circuit, int64_t granted_ms,
                        int64_t now_ms)
--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -286,6 +286,11 @@
 /* Returns the server's speed with online requests, see packages/work. */
 double
 contracts_controller_speed(const struct contracts_controller *controller);
+/* Returns whether the server has failed requests of several holders in a row,
+ * so that it should get none now. */
+bool
+contracts_controller_is_failing(const struct contracts_controller *controller,
+                                int64_t now_ms);
 /* Sets how many online requests that wait outside of this controller need a
  * slot of it; batch gives way to them. */
 void contracts_controller_set_wanted(struct contracts_controller *controller,
--- a/packages/contracts/controller.c
+++ b/packages/contracts/controller.c
@@ -256,6 +256,7 @@
                            const struct contracts_admission *admission,
                            int64_t now_ms, GArray *out)
 {
+    circuit_record_grant(&controller->circuit, now_ms);
     if (admission->class_ == CONTRACTS_BATCH) {
         controller_admit_batch(controller, admission, now_ms, out);
         return;
@@ -264,6 +265,14 @@
     record_demand(controller, true, now_ms);
 }
 
+/* See the header. */
+bool
+contracts_controller_is_failing(const struct contracts_controller *controller,
+                                int64_t now_ms)
+{
+    return circuit_refuses(&controller->circuit, now_ms);
+}
+
 /* See the header. */
 bool
 contracts_controller_may_queue(const struct contracts_controller *controller)
@@ -496,6 +505,21 @@
                                 out);
 }
 
+static void
+update_circuit(struct contracts_controller *controller,
+               const struct contract *contract,
+               const struct contracts_outcome *outcome, int64_t now_ms)
+{
+    if (outcome->failed) {
+        circuit_record_failure(&controller->circuit, contract->holder,
+                               contract->granted_ms, now_ms);
+    }
+    else if (outcome->tokens > 0 || outcome->first_token_us > 0) {
+        circuit_record_success(&controller->circuit, contract->granted_ms,
+                               now_ms);
+    }
+}
+
 static void
 apply_outcome(struct contracts_controller *controller,
               const struct contract *contract,
@@ -505,6 +529,9 @@
         (int64_t)(controller->desc.first_token_target_ms * 1000);
 
     window_sample(&controller->window, outcome);
+    if (contract != NULL) {
+        update_circuit(controller, contract, outcome, now_ms);
+    }
     if (contract != NULL && outcome->first_token_us > 0 &&
         outcome->first_token_us <= MAX(target_us, 1)) {
         stall_record_recovery(&controller->stall, contract->granted_ms,
--- a/packages/contracts/controller.h
+++ b/packages/contracts/controller.h
@@ -9,11 +9,13 @@
  *   controller_lifecycle.c  makes, rebuilds, drains and frees a controller,
  *                           and has its regular tick
  *
- * queue.h, overload.h, pace.h, reserve.h, stall.h and window.h hold its parts.
+ * circuit.h, queue.h, overload.h, pace.h, reserve.h, stall.h and window.h hold
+ * its parts.
  */
 #ifndef CARDAMOM_CONTRACTS_CONTROLLER_H
 #define CARDAMOM_CONTRACTS_CONTROLLER_H
 
+#include "contracts/circuit.h"
 #include "contracts/contracts.h"
 #include "contracts/overload.h"
 #include "contracts/pace.h"
@@ -44,6 +46,7 @@
     struct reserve reserve;
     struct overload overload;
     struct stall stall;
+    struct circuit circuit; /* used by pools */
     struct pace pace;
     /* Contracts whose work is known.  Online and batch have separate ones, as
      * their work is estimated in different ways. */
--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -246,13 +246,31 @@
     return false;
 }
 
+/* Returns whether servers that fail are passed over.  If more than half do,
+ * the cause is elsewhere, and all are used. */
 static bool
-may_get(const struct pool_server *server,
-        const struct contracts_admission *admission, int64_t now_ms)
+passes_over_failing(const struct contracts_pool *pool, int64_t now_ms)
 {
-    return contracts_controller_room(server->controller, admission->class_,
-                                     now_ms) > 0 &&
-           !is_avoided(admission, server);
+    guint n_failing = 0;
+
+    for (guint i = 0; i < pool->servers->len; i++) {
+        const struct pool_server *server = pool->servers->pdata[i];
+        n_failing +=
+            contracts_controller_is_failing(server->controller, now_ms) ? 1
+                                                                        : 0;
+    }
+    return 2 * n_failing <= pool->servers->len;
+}
+
+/* Returns whether a request must not go to a server, whatever its room. */
+static bool
+is_excluded(const struct pool_server *server,
+            const struct contracts_admission *admission, bool skips_failing,
+            int64_t now_ms)
+{
+    return is_avoided(admission, server) ||
+           (skips_failing &&
+            contracts_controller_is_failing(server->controller, now_ms));
 }
 
 /* Chooses the preferred server if it has room, else the one with the most
@@ -261,6 +279,7 @@
 choose_by_room(const struct contracts_pool *pool,
                const struct contracts_admission *admission, int64_t now_ms)
 {
+    bool skips_failing = passes_over_failing(pool, now_ms);
     struct choice best = {0};
     int most_room = 0;
 
@@ -268,7 +287,8 @@
         const struct pool_server *server = pool->servers->pdata[i];
         int room = contracts_controller_room(server->controller,
                                              admission->class_, now_ms);
-        if (room <= 0 || is_avoided(admission, server)) {
+        if (room <= 0 ||
+            is_excluded(server, admission, skips_failing, now_ms)) {
             continue;
         }
         if (strcmp(server->name, admission->preferred) == 0) {
@@ -289,6 +309,7 @@
 choose_by_work(const struct contracts_pool *pool,
                const struct contracts_admission *admission, int64_t now_ms)
 {
+    bool skips_failing = passes_over_failing(pool, now_ms);
     double work_ms = (double)admission->work_ms;
     struct choice best = {0};
     struct choice preferred = {0};
@@ -299,7 +320,9 @@
         const struct pool_server *server = pool->servers->pdata[i];
         struct choice at = {.server = server};
         double done_ms;
-        if (!may_get(server, admission, now_ms)) {
+        if (contracts_controller_room(server->controller, admission->class_,
+                                      now_ms) <= 0 ||
+            is_excluded(server, admission, skips_failing, now_ms)) {
             continue;
         }
         at.remaining_ms = contracts_controller_remaining(server->controller,
@@ -361,6 +384,7 @@
                        const struct contracts_admission *admission,
                        int n_waiting, int64_t now_ms)
 {
+    bool skips_failing = passes_over_failing(pool, now_ms);
     struct choice best = {0};
 
     if (n_waiting <= count_batch(pool)) {
@@ -370,7 +394,7 @@
         const struct pool_server *server = pool->servers->pdata[i];
         struct choice at = {.server = server};
         if (!contracts_controller_may_queue(server->controller) ||
-            is_avoided(admission, server)) {
+            is_excluded(server, admission, skips_failing, now_ms)) {
             continue;
         }
         if (admission->work_ms <= 0) {
--- a/packages/contracts/test_pool.cc
+++ b/packages/contracts/test_pool.cc
@@ -147,6 +147,95 @@
 /* Batch holds three of four slots.  The first online request takes the free
  * one; only then is batch preempted, the latest due work first, once for each
  * request that waits. */
+/* Plays 60 requests a second of 40 holders at six servers of eight slots,
+ * which take 500 ms for each.  From 1 to 7 s a request fails after 2 ms if
+ * has_failed(server, holder). */
+struct FailurePlay {
+    int n_failed = 0;
+    int n_refused = 0;
+    int n_after = 0; /* grants at s0 from 12 s on */
+
+    explicit FailurePlay(
+        const std::function<bool(const std::string &, int)> &has_failed)
+    {
+        struct running {
+            int64_t end_ms;
+            std::string server;
+            uint64_t contract;
+            bool is_failure;
+            bool
+            operator>(const running &other) const
+            {
+                return end_ms > other.end_ms;
+            }
+        };
+        Pool pool({8, 8, 8, 8, 8, 8});
+        std::priority_queue<running, std::vector<running>, std::greater<>>
+            open;
+        std::mt19937 random(5);
+        uint64_t id = 0;
+        for (int64_t now_ms = 0; now_ms < 20000; now_ms++) {
+            while (!open.empty() && open.top().end_ms <= now_ms) {
+                running done = open.top();
+                open.pop();
+                struct contracts_outcome outcome = {};
+                outcome.failed = done.is_failure;
+                outcome.first_token_us = done.is_failure ? 0 : 20000;
+                outcome.tokens = done.is_failure ? 0 : 20;
+                contracts_controller_release(
+                    pool.controllers[(size_t)atoi(&done.server[1])],
+                    done.contract, &outcome, now_ms, pool.events);
+                contracts_pool_serve(pool.raw, now_ms, pool.events);
+                pool.take();
+            }
+            if (random() % 1000 >= 60) {
+                continue;
+            }
+            int holder = (int)(random() % 40);
+            struct contracts_admission request = online(++id, 0);
+            g_snprintf(request.holder, sizeof(request.holder), "n%d", holder);
+            auto events = pool.admit(request, now_ms);
+            if (events.empty() || events[0].answer != CONTRACTS_GRANTED) {
+                n_refused++;
+                continue;
+            }
+            std::string server = events[0].server;
+            bool is_failure =
+                now_ms >= 1000 && now_ms < 7000 && has_failed(server, holder);
+            n_failed += is_failure ? 1 : 0;
+            n_after += now_ms >= 12000 && server == "s0" ? 1 : 0;
+            open.push({now_ms + (is_failure ? 2 : 500), server,
+                       events[0].contract, is_failure});
+        }
+    }
+};
+
+/* Guards against a server that fails requests at once, so that it always has
+ * most room, and draws in the requests of all holders. */
+TEST(Pool, AServerThatFailsAtOnceGetsFewRequests)
+{
+    FailurePlay play(
+        [](const std::string &server, int) { return server == "s0"; });
+
+    EXPECT_LE(play.n_failed, 8);
+    EXPECT_EQ(play.n_refused, 0);
+    EXPECT_GE(play.n_after, 40) << "it is used again";
+}
+
+/* Guards against servers that are taken for failed because one node has lost
+ * its network, or all of them at once. */
+TEST(Pool, FailuresThatAreNotOfOneServerCostNoRoom)
+{
+    FailurePlay one_holder(
+        [](const std::string &, int holder) { return holder == 7; });
+    EXPECT_EQ(one_holder.n_refused, 0);
+    EXPECT_GE(one_holder.n_after, 40);
+
+    FailurePlay all_servers([](const std::string &, int) { return true; });
+    EXPECT_EQ(all_servers.n_refused, 0);
+    EXPECT_GE(all_servers.n_after, 40);
+}
+
 TEST(Pool, BatchIsPreemptedOnlyWhenNoServerHasAFreeSlot)
 {
     Pool pool({2, 2});
