--- a/packages/base/http_text.c
+++ b/packages/base/http_text.c
@@ -81,7 +81,7 @@
 }
 
 /* Returns a JSON string of some bytes, never NULL.  Bytes that are not UTF-8
- * are replaced by U+FFFD: jansson returns NULL for them. */
+ * are replaced by U+FFFD, which is logged: jansson returns NULL for them. */
 json_t *
 base_json_bytes(const char *bytes, size_t size)
 {
@@ -91,6 +91,8 @@
     if (json != NULL) {
         return json;
     }
+    base_log(BASE_LOG_WARNING, "base.text_replaced",
+             "bytes=%zu reason=\"not UTF-8\"", size);
     valid = g_utf8_make_valid(bytes, (gssize)size);
     json = json_string(valid);
     g_free(valid);
