Send hostile requests to real nodes

bench/site_path.py (the test site_path) sends what ended a node or was two requests to a server, at each of three nodes, and checks that it is refused and that the nodes go on. Not run on the code before the changes.

--- a/bench/site_path.py
+++ b/bench/site_path.py
@@ -5,10 +5,11 @@
     bench/site_path.py BUILD_FOLDER [CHECK...]
 
 Starts the substitutes of standins/site.py and three nodes.  Checks, by the
-responses to callers and the requests that engines receive: streams, jobs, a
-changed configuration, a draining server, an unavailable store, a killed node
-and a planned stop.  Prints one line for each check and at the end 'N passed,
-M failed'.  The arguments after the folder select checks by function name.
+responses to callers and the requests that engines receive: streams, jobs,
+hostile requests, a changed configuration, a draining server, an unavailable
+store, a killed node and a planned stop.  Prints one line for each check and at
+the end 'N passed, M failed'.  The arguments after the folder select checks by
+function name.
 """
 import base64
 import http.client
@@ -16,6 +17,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -167,6 +169,33 @@
             and before == after)
 
 
+def send_bytes(node, head, body):
+    """Sends a POST with a head of any bytes; returns the status line."""
+    with socket.create_connection(("127.0.0.1", node.callers), 15) as caller:
+        caller.sendall(b"POST " + head + b"\r\nHost: desk.example\r\n"
+                       b"X-Attempt-Id: h1\r\n\r\n" + body)
+        return caller.recv(4096).split(b"\r\n")[0]
+
+
+def check_hostile_requests(site, nodes):
+    """Requests that ended a node or were two to a server are refused."""
+    length = b" HTTP/1.1\r\nContent-Length: 2"
+    lines = [send_bytes(node, head, b"{}") for node in nodes for head in (
+        b"/sheets/caf\xe9" + length, b"/sheets/a\tb" + length)]
+    trailer = [send_bytes(node, b"/none HTTP/1.1\r\n"
+                          b"Transfer-Encoding: chunked",
+                          b"0\r\nX: y\r\n\r\n") for node in nodes]
+    item = [node.call("POST", "/sheets/x", json.dumps({"items": [{
+        "id": "a", "path": "/x HTTP/1.1\r\n\r\nGET /y", "body": ""}]}),
+        {"X-Attempt-Id": "h2"}) for node in nodes]
+    is_ok = (all(b" 400 " in line for line in lines) and
+             all(b" 404 " in line for line in trailer) and
+             all(a[0] == 400 and b"item 0, path" in a[2] for a in item))
+    if not is_ok:
+        print(lines, trailer, item)
+    return is_ok and all(node.is_ready() for node in nodes)
+
+
 def check_configuration(site, nodes):
     site.configure([{"name": "late", "host": "desk.example",
                      "prefix": "/late/", "kind": "streaming",
@@ -258,9 +287,9 @@
 
 
 CHECKS = [check_stream, check_unknown, check_job, check_input_and_end,
-          check_configuration, check_draining_server, check_unreadable_entry,
-          check_store_away, check_history_gone, check_killed_runner,
-          check_planned_stop]
+          check_hostile_requests, check_configuration, check_draining_server,
+          check_unreadable_entry, check_store_away, check_history_gone,
+          check_killed_runner, check_planned_stop]
 
 
 def main():
