Move the choice of a pool's server out of pool.c

Change: pool_choice.c holds the choice of a server, pool_private.h what both files share; a pure move, but for the names that are no longer static.

--- a/packages/contracts/pool.c
+++ b/packages/contracts/pool.c
@@ -1,12 +1,8 @@
-#include "contracts/pool.h"
+#include "contracts/pool_private.h"
 
 #include <math.h>
 #include <string.h>
 
-#include "contracts/overload.h"
-#include "contracts/queue.h"
-#include "contracts/reserve.h"
-
 enum {
     /* The queue holds at most this many online admission requests for each
      * request of the windows. */
@@ -18,29 +14,6 @@
     MS_PER_S = 1000,
 };
 
-struct pool_server {
-    char name[CONTRACTS_SERVER_SIZE];
-    struct contracts_controller *controller; /* not owned */
-};
-
-struct contracts_pool {
-    GPtrArray *servers; /* of struct pool_server */
-    struct queue queue; /* online admission requests */
-    GQueue batch;       /* of struct queue_entry, by due time */
-    struct overload overload;
-    struct reserve reserve;
-};
-
-/* A server chosen for a request. */
-struct choice {
-    const struct pool_server *server; /* NULL: none */
-    /* Only if the work of the request is known: when the server, and the best
-     * one, would be done with their work; of servers that are full, when their
-     * next contract ends. */
-    double remaining_ms;
-    double best_remaining_ms;
-};
-
 /* Makes a pool without servers. */
 struct contracts_pool *
 contracts_pool_new(int64_t now_ms)
@@ -199,7 +172,7 @@
 }
 
 static void
-fill_choice(struct contracts_event *event, const struct choice *choice,
+fill_choice(struct contracts_event *event, const struct pool_choice *choice,
             const struct contracts_admission *admission)
 {
     event->work_ms =
@@ -209,7 +182,7 @@
 }
 
 static void
-grant(struct contracts_pool *pool, const struct choice *choice,
+grant(struct contracts_pool *pool, const struct pool_choice *choice,
       const struct contracts_admission *admission, int64_t now_ms, GArray *out)
 {
     const struct pool_server *server = choice->server;
@@ -230,186 +203,6 @@
     }
 }
 
-/* ---- choice of a server ---- */
-
-static bool
-is_avoided(const struct contracts_admission *admission,
-           const struct pool_server *server)
-{
-    uint64_t name = base_hash_text(server->name, 0);
-
-    for (int i = 0; i < admission->n_avoid; i++) {
-        if (admission->avoid[i] == name) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Returns whether servers that fail are passed over.  If more than half do,
- * the cause is elsewhere, and all are used. */
-static bool
-passes_over_failing(const struct contracts_pool *pool, int64_t now_ms)
-{
-    guint n_failing = 0;
-
-    for (guint i = 0; i < pool->servers->len; i++) {
-        const struct pool_server *server = pool->servers->pdata[i];
-        n_failing +=
-            contracts_controller_is_failing(server->controller, now_ms) ? 1
-                                                                        : 0;
-    }
-    return 2 * n_failing <= pool->servers->len;
-}
-
-/* Returns whether a request must not go to a server, whatever its room. */
-static bool
-is_excluded(const struct pool_server *server,
-            const struct contracts_admission *admission, bool skips_failing,
-            int64_t now_ms)
-{
-    return is_avoided(admission, server) ||
-           (skips_failing &&
-            contracts_controller_is_failing(server->controller, now_ms));
-}
-
-/* Chooses the preferred server if it has room, else the one with the most
- * room. */
-static struct choice
-choose_by_room(const struct contracts_pool *pool,
-               const struct contracts_admission *admission, int64_t now_ms)
-{
-    bool skips_failing = passes_over_failing(pool, now_ms);
-    struct choice best = {0};
-    int most_room = 0;
-
-    for (guint i = 0; i < pool->servers->len; i++) {
-        const struct pool_server *server = pool->servers->pdata[i];
-        int room = contracts_controller_room(server->controller,
-                                             admission->class_, now_ms);
-        if (room <= 0 ||
-            is_excluded(server, admission, skips_failing, now_ms)) {
-            continue;
-        }
-        if (strcmp(server->name, admission->preferred) == 0) {
-            return (struct choice){.server = server};
-        }
-        if (room > most_room) {
-            best.server = server;
-            most_room = room;
-        }
-    }
-    return best;
-}
-
-/* Chooses the server that would be done with its work and the request first,
- * or the preferred one if that takes it longer by at most the work of the
- * request: it may have the prefix of the prompt cached. */
-static struct choice
-choose_by_work(const struct contracts_pool *pool,
-               const struct contracts_admission *admission, int64_t now_ms)
-{
-    bool skips_failing = passes_over_failing(pool, now_ms);
-    double work_ms = (double)admission->work_ms;
-    struct choice best = {0};
-    struct choice preferred = {0};
-    double best_done_ms = 0;
-    double preferred_done_ms = 0;
-
-    for (guint i = 0; i < pool->servers->len; i++) {
-        const struct pool_server *server = pool->servers->pdata[i];
-        struct choice at = {.server = server};
-        double done_ms;
-        if (contracts_controller_room(server->controller, admission->class_,
-                                      now_ms) <= 0 ||
-            is_excluded(server, admission, skips_failing, now_ms)) {
-            continue;
-        }
-        at.remaining_ms = contracts_controller_remaining(server->controller,
-                                                         work_ms, now_ms);
-        done_ms = at.remaining_ms +
-                  work_ms / contracts_controller_speed(server->controller);
-        if (best.server == NULL || done_ms < best_done_ms) {
-            best = at;
-            best_done_ms = done_ms;
-        }
-        if (strcmp(server->name, admission->preferred) == 0) {
-            preferred = at;
-            preferred_done_ms = done_ms;
-        }
-    }
-    best.best_remaining_ms = best.remaining_ms;
-    preferred.best_remaining_ms = best.remaining_ms;
-    return preferred.server != NULL &&
-                   preferred_done_ms - best_done_ms <= work_ms
-               ? preferred
-               : best;
-}
-
-/* Chooses a server with room for a request.  Batch goes where there is most
- * room: chosen by work, it took more slots that online requests were about to
- * need. */
-static struct choice
-choose_server(const struct contracts_pool *pool,
-              const struct contracts_admission *admission, int64_t now_ms)
-{
-    bool has_work =
-        admission->work_ms > 0 && admission->class_ != CONTRACTS_BATCH;
-
-    return has_work ? choose_by_work(pool, admission, now_ms)
-                    : choose_by_room(pool, admission, now_ms);
-}
-
-/* Returns how many batch slots could be preempted, or are being. */
-static int
-count_batch(const struct contracts_pool *pool)
-{
-    int n_slots = 0;
-
-    for (guint i = 0; i < pool->servers->len; i++) {
-        const struct pool_server *server = pool->servers->pdata[i];
-        n_slots += contracts_controller_preemptible(server->controller);
-    }
-    return n_slots;
-}
-
-/* Chooses a server whose window is full of online requests and that may get
- * one more, which it starts as soon as another one ends: the one where that is
- * expected first, if the work of the request is known.  Without the additional
- * request a slot would stay empty from the end of a request until the next one
- * has come through its holder.  Requests for which batch can be preempted wait
- * for that instead; n_waiting is the number of those that wait. */
-static struct choice
-choose_queueing_server(const struct contracts_pool *pool,
-                       const struct contracts_admission *admission,
-                       int n_waiting, int64_t now_ms)
-{
-    bool skips_failing = passes_over_failing(pool, now_ms);
-    struct choice best = {0};
-
-    if (n_waiting <= count_batch(pool)) {
-        return best;
-    }
-    for (guint i = 0; i < pool->servers->len; i++) {
-        const struct pool_server *server = pool->servers->pdata[i];
-        struct choice at = {.server = server};
-        if (!contracts_controller_may_queue(server->controller) ||
-            is_excluded(server, admission, skips_failing, now_ms)) {
-            continue;
-        }
-        if (admission->work_ms <= 0) {
-            return at;
-        }
-        at.remaining_ms = contracts_controller_next_end(
-            server->controller, (double)admission->work_ms, now_ms);
-        if (best.server == NULL || at.remaining_ms < best.remaining_ms) {
-            best = at;
-            best.best_remaining_ms = at.remaining_ms;
-        }
-    }
-    return best;
-}
-
 /* ---- service ---- */
 
 static void
@@ -420,18 +213,18 @@
 
     while (queue_count(&pool->queue) > 0) {
         int n_waiting = queue_count(&pool->queue);
-        struct choice choice;
+        struct pool_choice choice;
         struct queue_entry *entry;
-        if (choose_server(pool, &ANY, now_ms).server == NULL &&
-            choose_queueing_server(pool, &ANY, n_waiting, now_ms).server ==
-                NULL) {
+        if (pool_choose_server(pool, &ANY, now_ms).server == NULL &&
+            pool_choose_queueing_server(pool, &ANY, n_waiting, now_ms)
+                    .server == NULL) {
             return;
         }
         entry = queue_pop(&pool->queue, true, now_ms);
-        choice = choose_server(pool, &entry->admission, now_ms);
+        choice = pool_choose_server(pool, &entry->admission, now_ms);
         if (choice.server == NULL) {
-            choice = choose_queueing_server(pool, &entry->admission, n_waiting,
-                                            now_ms);
+            choice = pool_choose_queueing_server(pool, &entry->admission,
+                                                 n_waiting, now_ms);
         }
         if (choice.server != NULL) {
             grant(pool, &choice, &entry->admission, now_ms, out);
@@ -534,12 +327,12 @@
 
     for (GList *at = pool->batch.head; at != NULL; at = next) {
         struct queue_entry *entry = at->data;
-        struct choice choice;
+        struct pool_choice choice;
         next = at->next;
         if (batch_room(pool, now_ms) <= 0) {
             return;
         }
-        choice = choose_server(pool, &entry->admission, now_ms);
+        choice = pool_choose_server(pool, &entry->admission, now_ms);
         if (choice.server == NULL) {
             continue;
         }
@@ -627,7 +420,7 @@
     struct contracts_admission admission = *requested;
 
     if (admission.wait_ms <= 0 &&
-        count_batch(pool) > queue_count(&pool->queue)) {
+        pool_count_batch(pool) > queue_count(&pool->queue)) {
         admission.wait_ms = PREEMPT_WAIT_MS;
     }
     if (admission.wait_ms <= 0 || would_time_out(pool, &admission) ||
@@ -644,13 +437,13 @@
              const struct contracts_admission *admission, int64_t now_ms,
              GArray *out)
 {
-    struct choice choice = {0};
+    struct pool_choice choice = {0};
 
     overload_record_admission(&pool->overload, admission);
     if (queue_count(&pool->queue) == 0) {
-        choice = choose_server(pool, admission, now_ms);
+        choice = pool_choose_server(pool, admission, now_ms);
         if (choice.server == NULL) {
-            choice = choose_queueing_server(pool, admission, 1, now_ms);
+            choice = pool_choose_queueing_server(pool, admission, 1, now_ms);
         }
     }
     if (choice.server != NULL) {
@@ -686,11 +479,11 @@
             const struct contracts_admission *admission, int64_t now_ms,
             GArray *out)
 {
-    struct choice choice = {0};
+    struct pool_choice choice = {0};
     struct queue_entry *entry;
 
     if (batch_room(pool, now_ms) > 0) {
-        choice = choose_server(pool, admission, now_ms);
+        choice = pool_choose_server(pool, admission, now_ms);
     }
     if (choice.server != NULL) {
         grant(pool, &choice, admission, now_ms, out);
@@ -770,7 +563,7 @@
 static int
 count_overloaded(const struct contracts_pool *pool)
 {
-    return MAX(queue_count(&pool->queue) - count_batch(pool), 0);
+    return MAX(queue_count(&pool->queue) - pool_count_batch(pool), 0);
 }
 
 static void
