Remember the clears of prompt parts that are not known yet

Change: such a record is remembered while the table has room; a full table still takes no record that counts no more than its least one, which is what ended the exchange without end.

--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -590,9 +590,8 @@
 is_worth_adding(const struct quarantine *quarantine,
                 const struct quarantine_record *record)
 {
-    return record->state.n_crashes > 0 &&
-           (!is_full(quarantine) ||
-            find_least(quarantine)->state.n_crashes < record->state.n_crashes);
+    return !is_full(quarantine) ||
+           find_least(quarantine)->state.n_crashes < record->state.n_crashes;
 }
 
 /* Takes a peer's record if its state is later, so that it is taken for other
--- a/packages/quarantine/test_quarantine.cc
+++ b/packages/quarantine/test_quarantine.cc
@@ -617,6 +617,23 @@
     EXPECT_TRUE(node.blocks({CULPRIT}, 2000));
 }
 
+/* Guards against records whose order of arrival decides whether a part is
+ * blocked: a node may hear of an answer before it hears of the crashes that
+ * the answer cleared. */
+TEST(Quarantine, AClearThatArrivesFirstStillClears)
+{
+    Node suspecting, answering, node;
+
+    for (int64_t now_ms : {0, 1000, 2000}) {
+        suspecting.crash({CULPRIT}, 1 + (uint64_t)now_ms, now_ms);
+    }
+    suspecting.send_to(answering, 2100);
+    answering.answer({CULPRIT}, 2200);
+    answering.send_to(node, 2300);
+    suspecting.send_to(node, 2400);
+    EXPECT_FALSE(node.blocks({CULPRIT}, 2500));
+}
+
 /* Guards against records that nodes drop and learn again from each other for
  * ever, because there are more than each of them remembers: that filled the
  * links between regions.  In each round of 100 ms a node sends to three
