Check the largest event id of a server's stream for overflow

Cause: the id after the last event was computed as last_id + 1.

Change: the largest id has no successor.

Result: on the old source the input ends fuzz_jobs (events.c:112, signed overflow) and the row fails; both pass now.

--- a/packages/jobs/events.c
+++ b/packages/jobs/events.c
@@ -99,6 +99,13 @@
     }
 }
 
+/* Ids come from the server: the largest one has no successor. */
+static bool
+is_next_id(int64_t last, int64_t id)
+{
+    return last < G_MAXINT64 && id == last + 1;
+}
+
 static void
 append_event(struct jobs_events *events, const char *text, size_t size)
 {
@@ -109,7 +116,7 @@
         return; /* a comment or a keep-alive without data */
     }
     if ((event.has_id && events->count > 0 && events->has_ids &&
-         event.id != events->last_id + 1) ||
+         !is_next_id(events->last_id, event.id)) ||
         events->text->len + event.data->len > MAX_TEXT_BYTES) {
         events->is_corrupt = true;
     }
--- a/packages/jobs/test_record.cc
+++ b/packages/jobs/test_record.cc
@@ -303,6 +303,12 @@
          "a",
          false,
          false},
+        {"an id past the largest number",
+         {"id: 9223372036854775807\ndata: a\n\n",
+          "id: -9223372036854775808\ndata: b\n\n"},
+         "a",
+         false,
+         false},
         {"without ids", {"data: a\n\ndata: b\n\n"}, "a\nb", true, false},
         {"no events", {}, "", false, false},
     };
