Accept a known job that comes again to a full route

Cause: before the limit of waiting tokens was applied, only the heads of open jobs were searched for the job's id.

Change: a full route reads the job's other head before it refuses.

--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -15,6 +15,7 @@
     struct jobs_head head;
     char identity[JOBS_SUBMISSION_SIZE]; /* of the first request; or empty */
     int64_t token_limit; /* waiting tokens of the route; 0: no limit */
+    int64_t waiting;     /* tokens that would wait, with this job's */
 };
 
 static void
@@ -195,15 +196,48 @@
            strcmp(a->operator_name, b->operator_name) == 0;
 }
 
+/* Receives the head that the job has if it is complete or has ended.  Such a
+ * job was accepted before and takes no room; any other is refused. */
+static void
+on_done_head(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    struct submission *submission = context;
+    struct base_error full = {0};
+
+    if (kv->status != PLATFORM_OK) {
+        finish_submission(jobs, submission, JOBS_REFUSED, &kv->err);
+        return;
+    }
+    if (jobs_kv_find_head(kv, submission->head.id) != NULL) {
+        finish_known(jobs, submission, kv);
+        return;
+    }
+    base_error_set(&full, BASE_FULL,
+                   "%" G_GINT64_FORMAT
+                   " tokens would wait on the route, %" G_GINT64_FORMAT
+                   " are allowed",
+                   submission->waiting, submission->token_limit);
+    finish_submission(jobs, submission, JOBS_FULL, &full);
+}
+
+static void
+read_done_head(struct jobs *jobs, struct submission *submission)
+{
+    char *key = jobs_done_key(submission->head.id);
+
+    jobs_kv_send(jobs, platform_kv_new(PLATFORM_GET, key),
+                 (struct jobs_kv_callback){on_done_head, submission});
+    g_free(key);
+}
+
 /* Receives the heads of all open jobs.  Writes the new job if its tokens and
  * those that already wait stay within the limit. */
 static void
 on_heads(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct submission *submission = context;
-    int64_t waiting = jobs_head_waiting_tokens(&submission->head);
-    struct base_error full = {0};
 
+    submission->waiting = jobs_head_waiting_tokens(&submission->head);
     if (kv->status != PLATFORM_OK) {
         finish_submission(jobs, submission, JOBS_REFUSED, &kv->err);
         return;
@@ -222,17 +256,12 @@
             continue;
         }
         if (shares_limit(&head, &submission->head)) {
-            waiting += jobs_head_waiting_tokens(&head);
+            submission->waiting += jobs_head_waiting_tokens(&head);
         }
         jobs_head_finish(&head);
     }
-    if (waiting > submission->token_limit) {
-        base_error_set(&full, BASE_FULL,
-                       "%" G_GINT64_FORMAT
-                       " tokens would wait on the route, %" G_GINT64_FORMAT
-                       " are allowed",
-                       waiting, submission->token_limit);
-        finish_submission(jobs, submission, JOBS_FULL, &full);
+    if (submission->waiting > submission->token_limit) {
+        read_done_head(jobs, submission);
         return;
     }
     write_job(jobs, submission);
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1290,6 +1290,33 @@
     EXPECT_EQ(node.wait_for("k", 1).size(), 1u);
 }
 
+/* Guards against a refusal of a job that was accepted before: its client would
+ * hand the work in again.  The node does not run the job, which is complete.
+ */
+TEST(Jobs, ACompleteJobThatComesAgainToAFullRouteIsKnown)
+{
+    std::atomic<bool> is_blocked{false};
+    Site site(
+        [&is_blocked](int fd, const std::string &request) {
+            while (is_blocked) {
+                g_usleep(1000);
+            }
+            serve(fd, request);
+        },
+        250);
+    Node other(site, "n2");
+    {
+        Node node(site, "n1");
+        ASSERT_EQ(node.submit("j", "a b"), JOBS_OK);
+        ASSERT_EQ(node.wait_for("j", 2).size(), 2u);
+    }
+    is_blocked = true;
+    ASSERT_EQ(other.submit("k", "c d"), JOBS_OK);
+    EXPECT_EQ(other.submit("l", "e"), JOBS_FULL);
+    EXPECT_EQ(other.submit("j", "a b"), JOBS_OK);
+    is_blocked = false;
+}
+
 /* Guards against one limit for all operators, which lets one of them use up
  * the room of the others.  The route allows 250 waiting tokens, and each item
  * has 100. */
