Give up the items of a job whose route is removed

Cause: without its route a job's items were neither sent nor given up until the retention time. If a route of another kind took over the path, they were sent to that route's service.

Change: the head of a job holds the revision of the configuration under which it was accepted. A runner with a newer one that lacks the route gives up the items that do not run after five seconds, in which a route removed by mistake may come back. Only routes for jobs are found for jobs.

--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -110,12 +110,16 @@
 }
 
 /* Returns the route of a job in the current configuration, or NULL when it
- * has been removed. */
+ * has been removed.  A route of another kind that has taken over the path is
+ * none for jobs. */
 const struct world_ingress *
 jobs_find_route(const struct jobs *jobs, const char *host, const char *path)
 {
-    return jobs->world == NULL ? NULL
-                               : world_find_ingress(jobs->world, host, path);
+    const struct world_ingress *route =
+        jobs->world == NULL ? NULL
+                            : world_find_ingress(jobs->world, host, path);
+
+    return route != NULL && route->kind == WORLD_INGRESS_BATCH ? route : NULL;
 }
 
 /* ---- calls ---- */
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -102,7 +102,9 @@
     int max_attempts;        /* failures after which an item is given up */
     int64_t due_at_ms;       /* target time of completion, wall clock */
     int64_t give_up_at_ms;   /* when open items are given up, wall clock */
-    GArray *committing; /* of int: indices of items in the pending commit */
+    int64_t
+        route_removed_ms; /* since when the route is missing; 0: it isn't */
+    GArray *committing;   /* of int: indices of items in the pending commit */
     struct jobs_head next_head; /* head as the pending commit writes it */
     GPtrArray *commit_pieces;   /* its results, encoded, of GBytes; or NULL */
     int64_t piece_bytes;        /* of results and checkpoints, uncompressed */
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -88,6 +88,10 @@
         json_object_set_new(root, "operator",
                             base_json_text(head->operator_name));
     }
+    if (head->config_revision > 0) {
+        json_object_set_new(root, "config",
+                            json_integer(head->config_revision));
+    }
     text = json_dumps(root, JSON_COMPACT);
     bytes = g_bytes_new(text, strlen(text));
     free(text);
@@ -158,6 +162,7 @@
     read_text(root, "runner", out->runner, sizeof(out->runner));
     read_text(root, "operator", out->operator_name,
               sizeof(out->operator_name));
+    out->config_revision = json_integer_value(json_object_get(root, "config"));
     out->submitted_ms =
         json_integer_value(json_object_get(root, "submitted_ms"));
     out->epoch = json_integer_value(json_object_get(root, "epoch"));
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -61,6 +61,8 @@
     /* Operator that submitted the job; "": any caller may read and end it. */
     char operator_name[WORLD_OPERATOR_NAME_SIZE];
     int64_t submitted_ms; /* wall clock */
+    /* Revision of the configuration that had the route; 0: unknown. */
+    int64_t config_revision;
     char *region; /* of the node that the client submitted to; "": unknown */
     char runner[JOBS_RUNNER_SIZE]; /* NODE#LIFE; empty: none */
     int64_t epoch;                 /* incremented by each claim */
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -13,6 +13,9 @@
     /* Pieces of the results of a commit.  They fit into a transaction of 32
      * entries with JOBS_MAX_CHECKPOINT_PIECES and four for the heads. */
     MAX_RESULT_PIECES = 20,
+    /* Time in which a route that was removed by mistake may come back before
+     * the open items of its jobs are given up. */
+    ROUTE_REMOVED_MS = 5000,
     MIN_PIECE_BYTES = 4096, /* smaller pieces are not tried */
     /* Complete runs are kept for readers this long; then their results are
      * read from the key-value service. */
@@ -501,11 +504,35 @@
     return is_urgent && has_uncommitted_results(run);
 }
 
-/* Gives up waiting items once the retention time of the job is over. */
+/* Returns whether the job's route has been removed for some time.  A node
+ * whose configuration may be older than the route can't tell. */
+static bool
+has_lost_route(struct jobs_run *run, int64_t now_ms)
+{
+    const struct jobs *jobs = run->jobs;
+
+    if (jobs->world == NULL || run->head.config_revision == 0 ||
+        jobs->world->revision <= run->head.config_revision ||
+        jobs_find_route(jobs, run->head.host, run->head.path) != NULL) {
+        run->route_removed_ms = 0;
+        return false;
+    }
+    if (run->route_removed_ms == 0) {
+        run->route_removed_ms = now_ms;
+        base_log(BASE_LOG_WARNING, "jobs.route_removed",
+                 "id=%s route=%s open=%d revision=%" G_GINT64_FORMAT,
+                 run->head.id, run->head.route, run->n_open,
+                 jobs->world->revision);
+    }
+    return now_ms >= run->route_removed_ms + ROUTE_REMOVED_MS;
+}
+
+/* Gives up waiting items once the retention time of the job is over or its
+ * route has been removed. */
 static void
-give_up_expired(struct jobs_run *run)
+give_up_expired(struct jobs_run *run, int64_t now_ms)
 {
-    if (base_wall_ms() < run->give_up_at_ms) {
+    if (!has_lost_route(run, now_ms) && base_wall_ms() < run->give_up_at_ms) {
         return;
     }
     for (guint i = 0; i < run->job->items->len; i++) {
@@ -533,7 +560,7 @@
         return;
     }
     update_limits(run);
-    give_up_expired(run);
+    give_up_expired(run, now_ms);
     if (is_draining && run->n_open > 0 && !run->is_committing) {
         stop_items(run);
     }
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -294,6 +294,7 @@
               sizeof(head->operator_name));
     head->region = g_strdup(own_region(jobs));
     head->submitted_ms = base_wall_ms();
+    head->config_revision = jobs->world->revision;
     head->epoch = 1;
     g_strlcpy(head->runner, jobs->runner, sizeof(head->runner));
     for (guint i = 0; i < submission->job->items->len; i++) {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -536,7 +536,8 @@
 
     struct world *
     make_world(const std::vector<std::string> &names,
-               const char *prefix = "/b/")
+               const char *prefix = "/b/", int64_t number = 1,
+               enum world_ingress_kind kind = WORLD_INGRESS_BATCH)
     {
         struct world_site_split split = {(char *)"s", 1};
         struct world_site_route route = {};
@@ -553,7 +554,7 @@
         route.name = (char *)"jobs";
         route.host = (char *)"h";
         route.prefix = (char *)prefix;
-        route.kind = WORLD_INGRESS_BATCH;
+        route.kind = kind;
         route.splits = &split;
         route.n_splits = 1;
         route.max_attempts = 2;
@@ -570,7 +571,7 @@
             server.slots = 8;
             pointers.push_back(&server);
         }
-        site.number = 1;
+        site.number = number;
         site.services = &service;
         site.n_services = 1;
         site.routes = &route;
@@ -1317,6 +1318,38 @@
     is_blocked = false;
 }
 
+/* Guards against items that stay open until the retention time although no
+ * server may run them any more, against items that go to the service of
+ * another route on the same path, and against a node that takes its older
+ * configuration, which does not have the route yet, for its removal. */
+TEST(Jobs, ItemsAreGivenUpOnceTheirRouteIsRemoved)
+{
+    std::atomic<int> n_runs{0};
+    Site site([&n_runs](int fd, const std::string &request) {
+        n_runs++;
+        serve(fd, request);
+    });
+    struct world *with_route = site.make_world({}, "/b/", 2);
+    struct world *older = site.make_world({"e1"}, "/other/", 1);
+    struct world *newer =
+        site.make_world({"e1"}, "/b/", 3, WORLD_INGRESS_STREAM);
+    Node one(site, "n1");
+    Node two(site, "n2");
+
+    one.update(with_route);
+    two.update(with_route);
+    ASSERT_EQ(one.submit("j", "a b"), JOBS_OK);
+    ASSERT_EQ(two.submit("k", "c"), JOBS_OK);
+    one.update(newer);
+    two.update(older);
+    EXPECT_EQ(one.wait_for("j", 2), (std::vector<std::string>{"a!", "b!"}));
+    EXPECT_TRUE(two.read("k").empty());
+    EXPECT_EQ(n_runs, 0);
+    world_unref(with_route);
+    world_unref(older);
+    world_unref(newer);
+}
+
 /* Guards against one limit for all operators, which lets one of them use up
  * the room of the others.  The route allows 250 waiting tokens, and each item
  * has 100. */
