Wait for a silent server as long as the caller does

Cause: 2.4 s was the longest pause in a stream on all routes of a site, though callers wait by the targets of their route.

Change: a stream that can't resume may pause for four times the route's response target or eight times its target between pieces, at least for 2.4 s. One that can resume is left after 2.4 s, as before.

--- a/packages/front/exchange.c
+++ b/packages/front/exchange.c
@@ -403,7 +403,9 @@
         attempt->first_token_us = MAX(now_us - attempt->sent_us, 1);
         exchange_report_first_token(exchange, attempt);
         backends_set_silence(&front->backends, attempt->call,
-                             exchange->world->limits.silence_ms);
+                             exchange->silence_ms > 0
+                                 ? exchange->silence_ms
+                                 : exchange->world->limits.silence_ms);
     }
     if (exchange->tokens > 0) {
         exchange->longest_gap_us =
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -467,6 +467,7 @@
     exchange->body_size = request->body->len;
     exchange->max_runs = route->max_attempts;
     exchange->target_ms = route->target_ms;
+    exchange->silence_ms = route->silence_ms;
     exchange->choice.is_idempotent =
         route->kind == WORLD_INGRESS_SAFE || may_resume;
     if (resume_event != NULL) {
--- a/packages/world/site.c
+++ b/packages/world/site.c
@@ -6,8 +6,13 @@
 enum {
     DEADLINE_MS = 60000, /* the same as the default of documents */
     MAX_DEADLINE_MS = 600000,
-    SILENCE_MS = 2400, /* a site's clients wait no longer for the next piece */
-    MAX_ATTEMPTS = 4,  /* limit of servers tried, also those that refuse */
+    SILENCE_MS = 2400, /* longest pause of a stream that can be resumed */
+    /* A site's clients wait for the next piece at least this long, or this
+     * many times the targets of the route. */
+    CLIENT_SILENCE_MS = 2400,
+    SILENCE_PER_TARGET = 4,
+    SILENCE_PER_GAP = 8,
+    MAX_ATTEMPTS = 4,    /* limit of servers tried, also those that refuse */
     REGION_LINK_MS = 20, /* one-way link delay, from the sites' data sheets */
     TARGET_MS = 380,     /* target time until the first token */
     GAP_TARGET_MS = 300, /* event gap target, from the sites' data sheets */
@@ -199,6 +204,19 @@
     }
 }
 
+/* Returns the longest pause in a response of the route.  A stream that can be
+ * resumed continues on another server after it.  For any other the pause would
+ * end the response, so it lasts as long as its client waits. */
+static int64_t
+route_silence_ms(const struct world_site_route *route)
+{
+    if (route->is_resumable) {
+        return SILENCE_MS;
+    }
+    return MAX(CLIENT_SILENCE_MS, MAX(SILENCE_PER_TARGET * route->target_ms,
+                                      SILENCE_PER_GAP * route->gap_target_ms));
+}
+
 static void
 add_route(struct world *world, const struct world_site_route *from)
 {
@@ -221,6 +239,7 @@
     route->timeout_ms = from->timeout_ms;
     route->target_ms = from->target_ms;
     route->gap_target_ms = from->gap_target_ms;
+    route->silence_ms = route_silence_ms(from);
     route->max_attempts = MAX(from->max_attempts, 1);
     route->priority = from->priority;
     route->is_open = from->is_open;
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -134,6 +134,7 @@
     int64_t target_ms;     /* target time until the first piece; jobs: until
                               acceptance */
     int64_t gap_target_ms; /* target time between two pieces of the response */
+    int64_t silence_ms;    /* longest pause in the response */
     /* Servers on which a request may run.  In a job: failures after which an
      * item is given up. */
     int max_attempts;
