Answer 503 to what a newer configuration may allow

Cause: a node answered 404 or 413 by its configuration although it knew of a newer one, and a jobs task answered 404 before it had any, or while it was older than the sender's or home's. Callers don't send such a request again.

Change: front_fail_by_config answers 503 with a retry-after instead while a newer configuration is on its way, as unknown API keys had it. A submission names the revision that has its route; a node whose home does not have the route yet accepts the job itself.

Result: Ingress.WhatANewerConfigurationMayAllowIsNotRefusedForGood fails on (404 and 413) and passes; Jobs.ARouteThatANodeDoesNotHaveYetIsNoMissing One passes (new member, not run on the old code).

--- a/packages/front/auth.c
+++ b/packages/front/auth.c
@@ -4,9 +4,6 @@
 
 enum {
     HEADER_SIZE = 512,
-    /* retry-after of a request whose key a newer configuration may hold: such
-     * a one arrives within a second or two. */
-    NEWER_CONFIG_RETRY_MS = 500,
 };
 
 /* Copies the token of the header "authorization: Bearer TOKEN"; false if the
@@ -83,26 +80,19 @@
     return n_found == 1 && out[0] != '\0';
 }
 
-/* Answers a request whose key is missing or unknown.  While the node has not
- * applied the newest configuration, that one may hold the key. */
+/* Answers a request whose key is missing or unknown. */
 static void
 refuse_key(struct front_request *request, bool has_key)
 {
-    static const struct front_fault NOT_KNOWN_YET = {
-        503, BASE_NOT_RUN, "server_error", "not_ready", 0};
-
-    if (has_key && !control_is_ready(request->front->control)) {
-        front_add_retry_after(request, NEWER_CONFIG_RETRY_MS);
-        front_fail(request, &NOT_KNOWN_YET,
-                   "the API key is unknown, and a newer configuration is on "
-                   "its way to this node");
-        return;
+    if (has_key) {
+        front_fail_by_config(request, &FRONT_NO_KEY, "unknown API key");
+    }
+    else {
+        front_fail(request, &FRONT_NO_KEY, "an API key is required");
     }
     base_log(BASE_LOG_INFO, "front.key_refused",
-             "id=%s has_key=%d revision=%" G_GINT64_FORMAT, request->id,
-             has_key, request->world->revision);
-    front_fail(request, &FRONT_NO_KEY,
-               has_key ? "unknown API key" : "an API key is required");
+             "id=%s has_key=%d status=%d revision=%" G_GINT64_FORMAT,
+             request->id, has_key, request->status, request->world->revision);
 }
 
 /* Identifies the calling operator of a site by its API key.  Open routes need
--- a/packages/front/errors.c
+++ b/packages/front/errors.c
@@ -4,7 +4,12 @@
 
 #include "base/http_text.h"
 
-enum { MS_PER_S = 1000 };
+enum {
+    MS_PER_S = 1000,
+    /* retry-after of a request that a newer configuration may allow: such a
+     * one arrives within a second or two. */
+    NEWER_CONFIG_RETRY_MS = 500,
+};
 
 const struct front_fault FRONT_BAD_REQUEST = {
     400, BASE_NOT_RUN, "invalid_request_error", "bad_request", 0};
@@ -83,3 +88,23 @@
                   strlen(json));
     free(json);
 }
+
+/* Responds with an error that follows from the configuration.  A node that
+ * knows of a newer one can't tell whether that allows the request, and callers
+ * don't send it again after such an error: it asks them to try again. */
+void
+front_fail_by_config(struct front_request *request,
+                     const struct front_fault *fault, const char *text)
+{
+    static const struct front_fault NOT_KNOWN_YET = {
+        503, BASE_NOT_RUN, "server_error", "not_ready", 0};
+
+    if (control_is_ready(request->front->control)) {
+        front_fail(request, fault, "%s", text);
+        return;
+    }
+    front_add_retry_after(request, NEWER_CONFIG_RETRY_MS);
+    front_fail(request, &NOT_KNOWN_YET,
+               "%s, but a newer configuration is on its way to this node",
+               text);
+}
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -277,6 +277,8 @@
                            int64_t retry_after_ms);
 char *front_fault_json(const struct front_fault *fault, const char *text);
 
+void front_fail_by_config(struct front_request *request,
+                          const struct front_fault *fault, const char *text);
 extern const struct front_fault FRONT_BAD_REQUEST;
 extern const struct front_fault FRONT_NO_KEY;
 extern const struct front_fault FRONT_DENIED;
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -143,6 +143,7 @@
     job->path = g_strdup(request->path);
     call = jobs_request_new(JOBS_SUBMIT, request->id);
     call->job = job;
+    call->config_revision = request->world->revision;
     send_call(request, call);
 }
 
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -233,10 +233,12 @@
     }
     if (request->route->handler->body == NULL &&
         request->body_expected > limit) {
-        front_fail(request, &FRONT_TOO_LARGE,
+        char text[128];
+        g_snprintf(text, sizeof(text),
                    "the body has %" G_GINT64_FORMAT
                    " bytes, the limit is %" G_GINT64_FORMAT,
                    request->body_expected, limit);
+        front_fail_by_config(request, &FRONT_TOO_LARGE, text);
         return false;
     }
     return true;
@@ -359,9 +361,11 @@
     }
     if (request->is_chunked && request->world != NULL &&
         request->body_received > request->world->limits.body_bytes) {
-        front_fail(request, &FRONT_TOO_LARGE,
+        char text[128];
+        g_snprintf(text, sizeof(text),
                    "the body is larger than %" G_GINT64_FORMAT " bytes",
                    request->world->limits.body_bytes);
+        front_fail_by_config(request, &FRONT_TOO_LARGE, text);
         request->closes_after = true;
         lws_callback_on_writable(request->wsi);
         return;
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -124,8 +124,8 @@
                 ? NULL
                 : world_find_ingress(request->world, host, request->path);
     if (route == NULL) {
-        front_fail(request, &FRONT_NOT_FOUND,
-                   "no route for this host and path");
+        front_fail_by_config(request, &FRONT_NOT_FOUND,
+                             "no route for this host and path");
         return &ANSWERED;
     }
     if (!front_identify(request, route->is_open)) {
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -16,6 +16,7 @@
         return FRONT_CALL_READY;
     }
     if (strcmp(path, "/job/j") == 0) {
+        g_strlcpy(id, "j", id_size);
         return FRONT_CALL_JOB_RESULTS;
     }
     return FRONT_CALL_NONE;
@@ -519,6 +520,36 @@
     }
 }
 
+/* Guards against errors that callers take for final, from a node that does not
+ * have the newest configuration yet. */
+TEST_F(Ingress, WhatANewerConfigurationMayAllowIsNotRefusedForGood)
+{
+    const std::string large(1001, 'b');
+    struct {
+        const char *name;
+        std::string request;
+        bool is_ready; /* the node knows the newest configuration */
+        int status;
+    } cases[] = {
+        {"no route", post("/none/x", "b"), true, 404},
+        {"no route here yet", post("/none/x", "b"), false, 503},
+        {"too large", post("/a/x", large), true, 413},
+        {"too large here yet", post("/a/x", large), false, 503},
+        {"a route", post("/a/x", "b"), false, 200},
+    };
+    struct test_server engine(serve_stream);
+
+    begin({&engine});
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        fakes.is_ready = row.is_ready;
+        struct answer answer = ask(row.request);
+        EXPECT_EQ(answer.status, row.status);
+        EXPECT_EQ(answer.headers.count("retry-after"),
+                  row.status == 503 ? 1u : 0u);
+    }
+}
+
 /* Guards against keys that were looked up once for a connection. */
 TEST_F(Ingress, AKeyThatIsTakenAwayIsRefusedOnOpenConnections)
 {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -121,6 +121,9 @@
     /* The calling operator; "" if the site has none, or the route is open. */
     char operator_name[WORLD_OPERATOR_NAME_SIZE];
     struct jobs_job *job; /* JOBS_SUBMIT; owned by the request */
+    /* JOBS_SUBMIT: revision of the sender's configuration, which has the
+     * route; 0: unknown. */
+    int64_t config_revision;
     /* JOBS_RESULTS: first position to read; JOBS_END: writes of
      * the head that have failed with a conflict */
     int after;
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -357,11 +357,13 @@
     const struct world_ingress *route;
 
     jobs->n_calls--;
-    if (request->status != JOBS_REFUSED) {
+    route = jobs_find_route(jobs, request->job->host, request->job->path);
+    /* A home whose configuration is older may not have the route yet. */
+    if (request->status != JOBS_REFUSED &&
+        (request->status != JOBS_NOT_ALLOWED || route == NULL)) {
         jobs_reply(jobs, request, request->status);
         return;
     }
-    route = jobs_find_route(jobs, request->job->host, request->job->path);
     if (route == NULL) {
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
@@ -389,6 +391,21 @@
     return true;
 }
 
+/* Answers a submission to a route that the jobs task does not have.  It may
+ * get the configuration that has the route a little later than the sender. */
+static void
+refuse_without_route(struct jobs *jobs, struct jobs_request *request)
+{
+    if (jobs->world != NULL &&
+        jobs->world->revision >= request->config_revision) {
+        jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
+        return;
+    }
+    base_error_set(&request->err, BASE_UNAVAILABLE,
+                   "this node has no configuration with the route yet");
+    jobs_reply(jobs, request, JOBS_REFUSED);
+}
+
 /* Accepts a job, on its home if that can be reached.  Replies JOBS_OK also
  * when it was accepted before. */
 void
@@ -405,8 +422,8 @@
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
     }
-    if (route == NULL || route->kind != WORLD_INGRESS_BATCH) {
-        jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
+    if (route == NULL) {
+        refuse_without_route(jobs, request);
         return;
     }
     if (request->is_from_peer && !decode_forwarded(jobs, request)) {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1837,6 +1837,39 @@
     return !runner_of(id).empty();
 }
 
+/* Guards against a refusal for good by a node that gets the configuration with
+ * the route later than the sender or the node that forwards the job. */
+TEST(Jobs, ARouteThatANodeDoesNotHaveYetIsNoMissingOne)
+{
+    Site site;
+    for (auto &member : site.members) {
+        member.address = free_address();
+    }
+    struct world *without_route = site.make_world({"e1"}, "/other/");
+    Node home(site, "n1");
+    Node other(site, "n2");
+    std::string id = id_with_home(site, "j", "n1");
+    struct {
+        int64_t config_revision;
+        enum jobs_status want;
+    } cases[] = {
+        {0, JOBS_NOT_ALLOWED}, {1, JOBS_NOT_ALLOWED}, {2, JOBS_REFUSED}};
+
+    home.update(without_route);
+    for (const auto &row : cases) {
+        struct jobs_request *request =
+            jobs_request_new(JOBS_SUBMIT, id.c_str());
+        request->job = decode(id.c_str(), "a", 1, nullptr);
+        request->job->host = g_strdup("h");
+        request->job->path = g_strdup("/b/x");
+        request->config_revision = row.config_revision;
+        EXPECT_EQ(home.call(request), row.want) << row.config_revision;
+    }
+    EXPECT_EQ(other.submit(id.c_str(), "a"), JOBS_OK);
+    EXPECT_EQ(other.wait_for(id.c_str(), 1).size(), 1u);
+    world_unref(without_route);
+}
+
 /* A home is suspended with a forwarded job in its socket, and reads it only
  * after the client has its answer.  Guards against jobs that run although
  * every answer said that they do not. */
