Check a site's configuration, and show what differs

Cause: `cardamomctl config check` knew only the project's own documents, and nodes skip what they can't use in a site's configuration or take it for 0.

Change: the check takes a site's configuration, reports mistyped and missing members, entries that can never match and limits that contradict each other by their JSON path, and warns of unused entries in both formats. Exit code 5 means warnings only.

--- a/packages/config/diff.c
+++ b/packages/config/diff.c
@@ -127,7 +127,7 @@
 {
     json_error_t error;
     json_t *old = *from != '\0' ? json_loads(from, 0, &error) : json_object();
-    json_t *new = json_loads(to, 0, &error);
+    json_t *new = old == NULL ? NULL : json_loads(to, 0, &error);
     char *text = NULL;
 
     if (old == NULL || new == NULL) {
--- a/packages/ctl/config.c
+++ b/packages/ctl/config.c
@@ -2,7 +2,6 @@
 
 #include "config/config.h"
 #include "platform/platform.h"
-#include "world/world.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -13,6 +12,7 @@
     char *environment;
     char *author;
     char *kv;
+    char *against;
     gint64 revision;
     gint64 expect;
     char **arguments; /* ACTION [FILE] */
@@ -20,7 +20,8 @@
 
 static const char EXAMPLES[] =
     "Actions:\n"
-    "  check FILE              check a document, without a node\n"
+    "  check FILE              check a document or a site's configuration, "
+    "without a node\n"
     "  diff FILE               compare a document with the active one of "
     "--environment\n"
     "  try FILE                make a document active in the trial "
@@ -34,6 +35,7 @@
     "                          store the first document of a new system\n\n"
     "Examples:\n"
     "  cardamomctl config check examples/lyhtyla.json\n"
+    "  cardamomctl config check new.json --against in-force.json\n"
     "  cardamomctl config try desk.json && cardamomctl config promote "
     "--revision 12\n"
     "  cardamomctl config history --environment production\n";
@@ -55,6 +57,8 @@
          "author to record, for bootstrap; default bootstrap", "NAME"},
         {"kv", 0, 0, G_OPTION_ARG_STRING, &options->kv,
          "address of the key-value service, for bootstrap", "IP:PORT"},
+        {"against", 0, 0, G_OPTION_ARG_FILENAME, &options->against,
+         "for check: the document in force, to show what differs", "FILE"},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY,
          &options->arguments, NULL, "ACTION [FILE]"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -98,30 +102,6 @@
     return true;
 }
 
-static int
-check_locally(const char *name, const GString *text)
-{
-    struct world_problems problems;
-    struct world *world;
-
-    world_problems_init(&problems);
-    world = world_parse(text->str, text->len, &problems);
-    for (guint i = 0; i < problems.all->len; i++) {
-        const struct world_problem *problem =
-            g_ptr_array_index(problems.all, i);
-        fprintf(stderr, "%s: %s: %s\n", name, problem->path, problem->text);
-    }
-    world_problems_finish(&problems);
-    if (world == NULL) {
-        return CTL_FAILED;
-    }
-    printf("%s: ok, %d regions, %d zones, %d deployments, %d servers\n", name,
-           world->n_regions, world->n_zones, world->n_deployments,
-           world->n_servers);
-    world_unref(world);
-    return CTL_OK;
-}
-
 static int
 exit_code(int status)
 {
@@ -313,13 +293,12 @@
 {
     const char *action = options->arguments[0];
 
+    if (strcmp(action, "check") == 0 && options->arguments[1] != NULL) {
+        return ctl_check(options->arguments[1], options->against);
+    }
     if (strcmp(action, "check") == 0) {
-        GString *text = g_string_new(NULL);
-        int code = read_document(options, text)
-                       ? check_locally(options->arguments[1], text)
-                       : CTL_USAGE;
-        g_string_free(text, TRUE);
-        return code;
+        fputs("cardamomctl config: FILE is missing, see --help\n", stderr);
+        return CTL_USAGE;
     }
     if (strcmp(action, "try") == 0 || strcmp(action, "diff") == 0) {
         return send_document(options, action);
@@ -356,5 +335,6 @@
     g_free(options.environment);
     g_free(options.author);
     g_free(options.kv);
+    g_free(options.against);
     return code;
 }
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -28,8 +28,25 @@
     CTL_USAGE = 2,       /* invalid command line */
     CTL_UNREACHABLE = 3, /* no complete response from a node */
     CTL_CONFLICT = 4,    /* HTTP 409, such as another operator's change */
+    CTL_WARNED = 5,      /* a check had warnings and no errors */
 };
 
+struct world_problems;
+
+/* A site's configuration, as the software around the site writes it. */
+struct ctl_site_format {
+    /* Whether a document is one. */
+    bool (*is_config)(const char *text, size_t size);
+    void (*check)(const char *text, size_t size,
+                  struct world_problems *problems);
+    int64_t (*version)(const char *text, size_t size);
+    /* Returns a copy that may be shown; the caller frees it with g_free(). */
+    char *(*hide_keys)(const char *text, size_t size);
+};
+
+void ctl_set_site_format(const struct ctl_site_format *format);
+int ctl_check(const char *name, const char *against);
+
 int ctl_config(int argc, char **argv);
 int ctl_batch(int argc, char **argv);
 int ctl_load(int argc, char **argv);
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "adapter.h"
+
 struct ctl_command {
     const char *name;
     int (*run)(int argc, char **argv);
@@ -20,6 +22,10 @@
     {"completion", ctl_completion, "print a completion script for bash"},
 };
 
+static const struct ctl_site_format SITE_FORMAT = {
+    adapter_is_config, adapter_check_config, adapter_config_version,
+    adapter_hide_keys};
+
 static void
 print_usage(FILE *out)
 {
@@ -29,7 +35,8 @@
     }
     fputs("\n`cardamomctl COMMAND --help` shows a command's options and "
           "examples.\nexit codes: 0 done, 1 refused or failed, 2 invalid "
-          "command line,\n3 no response from a node, 4 conflict\n",
+          "command line,\n3 no response from a node, 4 conflict, 5 only "
+          "warnings\n",
           out);
 }
 
@@ -48,6 +55,7 @@
         puts("cardamomctl " CARDAMOMPICK_VERSION);
         return CTL_OK;
     }
+    ctl_set_site_format(&SITE_FORMAT);
     base_log_setup("ctl", BASE_LOG_WARNING);
     base_log_output(STDERR_FILENO);
     for (size_t i = 0; i < G_N_ELEMENTS(COMMANDS); i++) {
--- a/packages/world/keyring.c
+++ b/packages/world/keyring.c
@@ -113,3 +113,21 @@
     held = g_hash_table_lookup(keyring->held, &wanted);
     return held == NULL ? WORLD_NONE : held->operator_index;
 }
+
+/* Returns whether an operator holds a key. */
+bool
+world_keyring_has_operator(const struct world_keyring *keyring,
+                           int operator_index)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, keyring->held);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        if (((const struct held_key *)value)->operator_index ==
+            operator_index) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/world/keyring.h
+++ b/packages/world/keyring.h
@@ -26,6 +26,8 @@
 void world_keyring_unref(struct world_keyring *keyring);
 bool world_keyring_add(struct world_keyring *keyring, const char *key,
                        int operator_index);
+bool world_keyring_has_operator(const struct world_keyring *keyring,
+                                int operator_index);
 int world_keyring_find(const struct world_keyring *keyring, const char *key);
 
 #ifdef __cplusplus
--- a/packages/world/world.c
+++ b/packages/world/world.c
@@ -30,6 +30,37 @@
     problems->all = NULL;
 }
 
+/* Adds a problem of the value at a JSON path. */
+void
+world_problems_add(struct world_problems *problems,
+                   enum world_severity severity, const char *path,
+                   const char *format, ...)
+{
+    struct world_problem *problem = g_new0(struct world_problem, 1);
+    va_list args;
+
+    va_start(args, format);
+    problem->text = g_strdup_vprintf(format, args);
+    va_end(args);
+    problem->severity = severity;
+    problem->path = g_strdup(path);
+    g_ptr_array_add(problems->all, problem);
+}
+
+/* Returns the number of problems of a severity. */
+int
+world_problems_count(const struct world_problems *problems,
+                     enum world_severity severity)
+{
+    int n = 0;
+
+    for (guint i = 0; i < problems->all->len; i++) {
+        const struct world_problem *problem = problems->all->pdata[i];
+        n += problem->severity == severity;
+    }
+    return n;
+}
+
 /* Adds a reference and returns the world; any thread. */
 struct world *
 world_ref(struct world *world)
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -226,7 +226,13 @@
     struct world_keyring *keyring; /* the same; site with operators */
 };
 
+enum world_severity {
+    WORLD_ERROR,
+    WORLD_WARNING, /* it can be used, but hardly as it is meant */
+};
+
 struct world_problem {
+    enum world_severity severity;
     char *path; /* JSON path, for example $.servers[3].zone */
     char *text;
 };
@@ -237,9 +243,15 @@
 
 void world_problems_init(struct world_problems *problems);
 void world_problems_finish(struct world_problems *problems);
+void world_problems_add(struct world_problems *problems,
+                        enum world_severity severity, const char *path,
+                        const char *format, ...) G_GNUC_PRINTF(4, 5);
+int world_problems_count(const struct world_problems *problems,
+                         enum world_severity severity);
 
 struct world *world_parse(const char *text, size_t length,
                           struct world_problems *problems);
+void world_check(const struct world *world, struct world_problems *problems);
 void world_make_pools(struct world *world);
 void world_free_pools(struct world *world);
 struct world *world_ref(struct world *world);
