--- a/packages/config/diff.c
+++ b/packages/config/diff.c
@@ -125,7 +125,7 @@
 char *
 config_diff(const char *from, const char *to, struct base_error *err)
 {
-    json_error_t error;
+    json_error_t error = {.line = 0};
     json_t *old = *from != '\0' ? json_loads(from, 0, &error) : json_object();
     json_t *new = old == NULL ? NULL : json_loads(to, 0, &error);
     char *text = NULL;
--- a/packages/contracts/queue.c
+++ b/packages/contracts/queue.c
@@ -120,8 +120,8 @@
     }
     const struct queue_entry *head_a = a->entries.head->data;
     const struct queue_entry *head_b = b->entries.head->data;
-    if (head_a->since_ms != head_b->since_ms) {
-        return head_a->since_ms < head_b->since_ms;
+    if (head_a->first_ms != head_b->first_ms) {
+        return head_a->first_ms < head_b->first_ms;
     }
     return strcmp(a->operator_name, b->operator_name) < 0;
 }
@@ -327,9 +327,10 @@
     return MIN(own * weights / weight, queue_count(queue) + 1.0);
 }
 
-/* Makes room for a new admission request: removes and returns the newest entry
- * of the flow that has the most entries relative to its weight.  Returns NULL
- * when the flow of the new request would have as many or more. */
+/* Makes room for a new admission request: removes and returns the entry
+ * that has waited least of the flow that has the most entries relative to its
+ * weight.  Returns NULL when the flow of the new request would have as many or
+ * more. */
 struct queue_entry *
 queue_evict_for(struct queue *queue,
                 const struct contracts_admission *admission)
--- a/packages/control/calls.c
+++ b/packages/control/calls.c
@@ -149,14 +149,23 @@
     base_call_send(call, &OPS, &control->task, NULL);
 }
 
-/* True once a configuration is in force and this node knows of no newer one;
- * any thread. */
+/* True once the newest configuration that this node knew of was in force; any
+ * thread. */
 bool
 control_is_ready(struct control *control)
 {
     return g_atomic_int_get(&control->is_ready) != 0;
 }
 
+/* True while the configuration in force is the newest one that this node knows
+ * of; any thread. */
+bool
+control_has_newest_config(struct control *control)
+{
+    return control_is_ready(control) &&
+           g_atomic_int_get(&control->is_outdated) == 0;
+}
+
 /* Takes `count` requests from this node's share of an operator's rate limit;
  * false if that exceeds it.  Any thread. */
 bool
--- a/packages/control/config_sync.c
+++ b/packages/control/config_sync.c
@@ -386,6 +386,16 @@
     return elapsed_ms >= wait_ms;
 }
 
+/* Returns whether a member has a configuration that this node does not have
+ * and has not refused. */
+static bool
+is_newer_known(struct control *control)
+{
+    return members_highest_revision(control->members) >
+           MAX(control->config_sync.revision,
+               control->config_sync.highest_refused);
+}
+
 /* Whether a starting node has the latest configuration that the key-value
  * service and its peers know.  If one of the two is unreachable, the node
  * waits a bounded time for it and then relies on the other. */
@@ -403,8 +413,7 @@
         (elapsed_ms >= KV_WAIT_MS && control->registry.digest != 0);
 
     if (control->world == NULL || !has_server_list ||
-        members_highest_revision(control->members) >
-            MAX(config_sync->revision, config_sync->highest_refused)) {
+        is_newer_known(control)) {
         return false;
     }
     if (has_read) {
@@ -449,6 +458,7 @@
             pull_from(control, newer->control_address);
         }
     }
+    g_atomic_int_set(&control->is_outdated, is_newer_known(control));
     if (g_atomic_int_get(&control->is_ready) == 0 && is_up_to_date(control)) {
         g_atomic_int_set(&control->is_ready, 1);
         control->is_changed = true;
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -225,9 +225,12 @@
 void control_leave(struct control *control);
 void control_stop(struct control *control);
 
-/* True once a configuration is in force and this node knows of no newer one;
- * any thread. */
+/* True once the newest configuration that this node knew of was in force; any
+ * thread. */
 bool control_is_ready(struct control *control);
+/* True while the configuration in force is the newest one that this node knows
+ * of; any thread. */
+bool control_has_newest_config(struct control *control);
 
 /* The state of nodes and of the servers that this node owns, as JSON. */
 struct control_status {
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -313,6 +313,7 @@
     int64_t next_apply_ms; /* earliest time to apply the next changes */
     int n_platform_calls;  /* calls to the platform without an answer yet */
     int is_ready;          /* atomic */
+    int is_outdated;       /* atomic: a member has a newer configuration */
     GArray *actions;       /* scratch array of struct members_action */
     struct control_owner owner;
     struct control_client client;
--- a/packages/ctl/check.c
+++ b/packages/ctl/check.c
@@ -140,7 +140,7 @@
 {
     if (is_site(from) != is_site(to)) {
         base_error_set(err, BASE_INVALID,
-                       "it is a document of another kind or not JSON");
+                       "one of them is of another kind or not JSON");
         return false;
     }
     if (is_site(to)) {
@@ -190,7 +190,8 @@
             code = exit_code(&problems);
         }
         else {
-            fprintf(stderr, "%s: %s\n", against, err.text);
+            fprintf(stderr, "%s and %s can't be compared: %s\n", name, against,
+                    err.text);
             code = CTL_FAILED;
         }
         print_problems(name, &problems);
--- a/packages/front/deadlines.c
+++ b/packages/front/deadlines.c
@@ -4,7 +4,7 @@
 
 enum {
     N_SAMPLES = 32,    /* latest deadlines of a route that are kept */
-    N_USUAL = 17,      /* of these have the usual deadline */
+    N_USUAL = 17,      /* least number of them that agree */
     N_FIRST = 3,       /* the same while there are fewer samples */
     TOLERANCE_MS = 20, /* time that a first try may have spent on its way */
     /* Of a site that changes its routes all the time; all are then learned
@@ -37,17 +37,17 @@
 }
 
 static struct route_deadlines *
-find_route(struct front_deadlines *deadlines, const char *name)
+find_route(struct front_deadlines *deadlines, const char *key)
 {
     struct route_deadlines *route =
-        g_hash_table_lookup(deadlines->routes, name);
+        g_hash_table_lookup(deadlines->routes, key);
 
     if (route == NULL) {
         if (g_hash_table_size(deadlines->routes) >= MAX_ROUTES) {
             g_hash_table_remove_all(deadlines->routes);
         }
         route = g_new0(struct route_deadlines, 1);
-        g_hash_table_insert(deadlines->routes, g_strdup(name), route);
+        g_hash_table_insert(deadlines->routes, g_strdup(key), route);
     }
     return route;
 }
@@ -81,10 +81,10 @@
  * route's time limit, or a longer one that some requests have: the limit may
  * have been lowered below what callers send. */
 int64_t
-front_deadlines_record(struct front_deadlines *deadlines, const char *name,
+front_deadlines_record(struct front_deadlines *deadlines, const char *key,
                        int64_t deadline_ms, int64_t timeout_ms)
 {
-    struct route_deadlines *route = find_route(deadlines, name);
+    struct route_deadlines *route = find_route(deadlines, key);
     int64_t usual_ms;
 
     route->samples[route->next] = deadline_ms;
--- a/packages/front/deadlines.h
+++ b/packages/front/deadlines.h
@@ -20,13 +20,13 @@
 #endif
 
 struct front_deadlines {
-    GHashTable *routes; /* route's name to struct route_deadlines */
+    GHashTable *routes; /* route's key to struct route_deadlines */
 };
 
 void front_deadlines_init(struct front_deadlines *deadlines);
 void front_deadlines_finish(struct front_deadlines *deadlines);
 int64_t front_deadlines_record(struct front_deadlines *deadlines,
-                               const char *route, int64_t deadline_ms,
+                               const char *route_key, int64_t deadline_ms,
                                int64_t timeout_ms);
 
 #ifdef __cplusplus
--- a/packages/front/errors.c
+++ b/packages/front/errors.c
@@ -99,7 +99,7 @@
     static const struct front_fault NOT_KNOWN_YET = {
         503, BASE_NOT_RUN, "server_error", "not_ready", 0};
 
-    if (control_is_ready(request->front->control)) {
+    if (control_has_newest_config(request->front->control)) {
         front_fail(request, fault, "%s", text);
         return;
     }
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -119,9 +119,11 @@
     const char *host;                      /* Host header; not owned */
     GPtrArray *headers;                    /* name, value, ... */
     int max_runs;                          /* limit of n_runs; 0: none */
-    int64_t target_ms;        /* target time to first event or byte; 0: none */
-    int64_t earlier_ms;       /* the caller's wait before this node had it */
-    int64_t silence_ms;       /* longest pause in it; 0: see the limits */
+    int64_t target_ms;  /* target time to first event or byte; 0: none */
+    int64_t earlier_ms; /* the caller's wait before this node had it */
+    /* Longest pause in the response after its first event; 0: the limits'
+     * silence_ms. */
+    int64_t silence_ms;
     int64_t first_output_ms;  /* timeout of first event or byte; 0: default */
     const char *resume_after; /* id of the last event; NULL: none */
     struct quarantine_parts parts; /* of the prompt, at the deployment */
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -447,14 +447,17 @@
 {
     struct front *front = request->front;
     int64_t earlier_ms;
+    char *key;
 
     if (!front->count_earlier_waits ||
         front_request_header(request, front->protocol->deadline_ms) == NULL) {
         return 0;
     }
+    key = g_strconcat(route->host, route->prefix, NULL); /* unlike its name */
     earlier_ms = front_deadlines_record(
-        &front->deadlines, route->name,
+        &front->deadlines, key,
         request->deadline_ms - request->started_us / 1000, route->timeout_ms);
+    g_free(key);
     if (earlier_ms > 0) {
         base_counter_add(front->metrics.returned_requests, 1);
     }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -77,6 +77,7 @@
     bool is_resumable = false;
     int max_attempts = 2;
     int64_t timeout_ms = 5000;
+    int64_t gap_target_ms = 0;
     std::string address;
     std::string engine_prefix = "e"; /* of the names of servers */
     /* Names of operators and their keys; with none, no key is needed. */
@@ -139,6 +140,7 @@
         routes[0].n_splits = 1;
         routes[0].timeout_ms = timeout_ms;
         routes[0].target_ms = 300;
+        routes[0].gap_target_ms = gap_target_ms;
         routes[0].max_attempts = max_attempts;
         routes[0].is_resumable = is_resumable;
         for (size_t i = 0; i < engines.size(); i++) {
@@ -479,6 +481,23 @@
         << "it may need a key";
 }
 
+/* Guards against a pause that is cut although the caller waits for more than
+ * 2.4 s by the route's targets. */
+TEST_F(Ingress, AStreamMayPauseAsLongAsItsCallerWaits)
+{
+    struct test_server engine([&](int fd, const std::string &request) {
+        test_write(fd, stream_head(request) + chunk(event(1)));
+        g_usleep(2700000);
+        test_write(fd, chunk(event(2)) + "0\r\n\r\n");
+    });
+
+    gap_target_ms = 400;
+    begin({&engine});
+    struct answer answer = ask(post("/a/x", "body"));
+    EXPECT_TRUE(answer.is_complete);
+    EXPECT_EQ(answer.body, event(1) + event(2));
+}
+
 /* Guards against requests that run for the wrong operator, without a key, or
  * with the key in what the server gets. */
 TEST_F(Ingress, IdentifiesTheOperatorByTheKeyOfEachRequest)
--- a/packages/front/test_support.cc
+++ b/packages/front/test_support.cc
@@ -183,6 +183,12 @@
     return fakes.rate_retry_ms;
 }
 
+bool
+control_has_newest_config(struct control *control)
+{
+    return fakes.is_ready;
+}
+
 bool
 control_is_ready(struct control *control)
 {
--- a/packages/jobs/jobs.pb-c.c
+++ b/packages/jobs/jobs.pb-c.c
@@ -206,7 +206,7 @@
   (ProtobufCMessageInit) jobs__check__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jobs__call__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jobs__call__field_descriptors[14] =
 {
   {
     "op",
@@ -364,10 +364,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_revision",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jobs__call__field_indices_by_name[] = {
   3,   /* field[3] = after */
   8,   /* field[8] = checks */
+  13,   /* field[13] = config_revision */
   5,   /* field[5] = host */
   1,   /* field[1] = id */
   2,   /* field[2] = item */
@@ -383,7 +396,7 @@
 static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jobs__call__descriptor =
 {
@@ -393,7 +406,7 @@
   "Jobs__Call",
   "jobs",
   sizeof(Jobs__Call),
-  13,
+  14,
   jobs__call__field_descriptors,
   jobs__call__field_indices_by_name,
   1,  jobs__call__number_ranges,
--- a/packages/jobs/jobs.pb-c.h
+++ b/packages/jobs/jobs.pb-c.h
@@ -83,10 +83,15 @@
    * the caller; empty: none 
    */
   char *operator_name;
+  /*
+   * of the sender, which has the route of a
+   *submission; 0: unknown 
+   */
+  int64_t config_revision;
 };
 #define JOBS__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jobs__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Jobs__Reply
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -93,18 +93,17 @@
 struct jobs_run {
     struct jobs *jobs;
     struct jobs_job *job;
-    struct jobs_head head;   /* last known state in the key-value service */
-    int64_t revision;        /* revision of the head record */
-    GPtrArray *results;      /* of struct jobs_result, by position */
-    struct jobs_work *works; /* by item index */
-    int n_open;              /* number of items neither done nor listed */
-    int n_active;            /* number of items in admission or running */
-    int max_attempts;        /* failures after which an item is given up */
-    int64_t due_at_ms;       /* target time of completion, wall clock */
-    int64_t give_up_at_ms;   /* when open items are given up, wall clock */
-    int64_t
-        route_removed_ms; /* since when the route is missing; 0: it isn't */
-    GArray *committing;   /* of int: indices of items in the pending commit */
+    struct jobs_head head;    /* last known state in the key-value service */
+    int64_t revision;         /* revision of the head record */
+    GPtrArray *results;       /* of struct jobs_result, by position */
+    struct jobs_work *works;  /* by item index */
+    int n_open;               /* number of items neither done nor listed */
+    int n_active;             /* number of items in admission or running */
+    int max_attempts;         /* failures after which an item is given up */
+    int64_t due_at_ms;        /* target time of completion, wall clock */
+    int64_t give_up_at_ms;    /* when open items are given up, wall clock */
+    int64_t route_removed_ms; /* when the route was found missing, or 0 */
+    GArray *committing; /* of int: indices of items in the pending commit */
     struct jobs_head next_head; /* head as the pending commit writes it */
     GPtrArray *commit_pieces;   /* its results, encoded, of GBytes; or NULL */
     int64_t piece_bytes;        /* of results and checkpoints, uncompressed */
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -119,6 +119,7 @@
     if (request->op == JOBS_SUBMIT) {
         message->host = request->job->host;
         message->path = request->job->path;
+        message->config_revision = request->config_revision;
         message->text.data =
             (uint8_t *)g_bytes_get_data(request->job->text, &size);
         message->text.len = size;
@@ -291,6 +292,7 @@
         request->job->host = g_strdup(call->host);
         request->job->path = g_strdup(call->path);
         request->job->text = g_bytes_new(call->text.data, call->text.len);
+        request->config_revision = call->config_revision;
     }
     if (request->op == JOBS_CHECK) {
         read_checks(call, request);
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -505,7 +505,8 @@
 }
 
 /* Returns whether the job's route has been removed for some time.  A node
- * whose configuration may be older than the route can't tell. */
+ * can't tell if its configuration may be older than the route, or than one
+ * that has the route again. */
 static bool
 has_lost_route(struct jobs_run *run, int64_t now_ms)
 {
@@ -513,6 +514,7 @@
 
     if (jobs->world == NULL || run->head.config_revision == 0 ||
         jobs->world->revision <= run->head.config_revision ||
+        !jobs_holds_lease(jobs) || !control_has_newest_config(jobs->control) ||
         jobs_find_route(jobs, run->head.host, run->head.path) != NULL) {
         run->route_removed_ms = 0;
         return false;
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -357,13 +357,11 @@
     const struct world_ingress *route;
 
     jobs->n_calls--;
-    route = jobs_find_route(jobs, request->job->host, request->job->path);
-    /* A home whose configuration is older may not have the route yet. */
-    if (request->status != JOBS_REFUSED &&
-        (request->status != JOBS_NOT_ALLOWED || route == NULL)) {
+    if (request->status != JOBS_REFUSED) {
         jobs_reply(jobs, request, request->status);
         return;
     }
+    route = jobs_find_route(jobs, request->job->host, request->job->path);
     if (route == NULL) {
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
