Take over jobs whose results are larger than the link carries

Cause: a call to the store had one time limit, 2 s, whatever its size, and a claim read all results first. The logs show the list of the results without an answer 2.1 s after each claim, eleven times; the claim itself succeeds, so neither a conflict nor a missing lease.

Change: the time limit of a call is one without progress (a page, or 16 KiB of a body either way). A claim reads one page of results; if there are more it reads the checkpoint alone. Reads start at the piece that has the position, which the job's head tells.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -8,7 +8,7 @@
     struct jobs_head head;
     int64_t revision; /* of the head */
     struct jobs_job *job;
-    GPtrArray *results;  /* of struct jobs_result */
+    GPtrArray *results;  /* of struct jobs_result; NULL: more than a page */
     GPtrArray *partials; /* the checkpoint, of struct jobs_result */
 };
 
@@ -45,38 +45,37 @@
     }
 }
 
-static void
-on_results(struct jobs *jobs, struct platform_kv *kv, void *context)
+/* Decodes the pieces of the checkpoint in a reply; returns their number.  The
+ * items of those that cannot be read start again. */
+static int
+read_checkpoint(struct claim *claim, const struct platform_kv *kv)
 {
-    struct claim *claim = context;
     struct base_error err = {0};
-    struct base_error partial_err = {0};
-    int n_partials = 0;
+    int n_pieces = 0;
 
-    claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
     claim->partials = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = 0; kv->status == PLATFORM_OK && i < kv->entries->len; i++) {
+    for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         if (!jobs_is_checkpoint_key(entry->key)) {
-            jobs_results_decode(entry->value, claim->results, &err);
             continue;
         }
-        n_partials++;
-        if (partial_err.code == BASE_OK &&
-            !jobs_results_decode(entry->value, claim->partials,
-                                 &partial_err)) {
-            /* Its items start again. */
-            base_log_error("jobs.checkpoint_unreadable", &partial_err,
-                           "key=%s", entry->key);
+        n_pieces++;
+        if (err.code == BASE_OK &&
+            !jobs_results_decode(entry->value, claim->partials, &err)) {
+            base_log_error("jobs.checkpoint_unreadable", &err, "key=%s",
+                           entry->key);
         }
     }
     drop_cut_off(claim->partials);
-    if (kv->status != PLATFORM_OK || err.code != BASE_OK ||
-        !jobs_results_are_whole(claim->results) ||
-        claim->results->len != claim->head.listed->len) {
-        abort_claim(jobs, claim, "its results cannot be read");
-        return;
-    }
+    return n_pieces;
+}
+
+/* Starts the run of a claimed job from the checkpoint in a reply. */
+static void
+start_run(struct jobs *jobs, struct claim *claim, const struct platform_kv *kv)
+{
+    int n_partials = read_checkpoint(claim, kv);
+
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
         struct jobs_run *run =
@@ -88,6 +87,63 @@
     free_claim(claim);
 }
 
+/* Decodes the results in a reply, which has all of them. */
+static bool
+read_results(struct claim *claim, const struct platform_kv *kv)
+{
+    struct base_error err = {0};
+
+    claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
+    for (guint i = 0; i < kv->entries->len; i++) {
+        const struct platform_entry *entry = kv->entries->pdata[i];
+        if (!jobs_is_checkpoint_key(entry->key) &&
+            !jobs_results_decode(entry->value, claim->results, &err)) {
+            base_log_error("jobs.results_unreadable", &err, "key=%s",
+                           entry->key);
+            return false;
+        }
+    }
+    return jobs_results_are_whole(claim->results) &&
+           claim->results->len == claim->head.listed->len;
+}
+
+static void
+on_checkpoint(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    struct claim *claim = context;
+
+    if (kv->status != PLATFORM_OK) {
+        abort_claim(jobs, claim, "its checkpoint cannot be read");
+        return;
+    }
+    start_run(jobs, claim, kv);
+}
+
+static void
+on_results(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    struct claim *claim = context;
+    char *prefix;
+
+    if (kv->status != PLATFORM_OK) {
+        abort_claim(jobs, claim, "its results cannot be read");
+        return;
+    }
+    if (!kv->has_more) {
+        if (!read_results(claim, kv)) {
+            abort_claim(jobs, claim, "its results are not valid");
+            return;
+        }
+        start_run(jobs, claim, kv);
+        return;
+    }
+    /* The items that are left need none of the results. */
+    prefix = jobs_checkpoint_key(claim->id, 0);
+    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, prefix),
+                 (struct jobs_kv_callback){on_checkpoint, claim});
+    g_free(prefix);
+}
+
 static bool
 read_job(struct jobs *jobs, struct claim *claim, const struct platform_kv *kv,
          struct base_error *err)
@@ -117,6 +173,7 @@
 on_input(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct claim *claim = context;
+    struct platform_kv *results;
     struct base_error err = {0};
     char *prefix;
 
@@ -125,8 +182,9 @@
         return;
     }
     prefix = g_strconcat(JOBS_RESULTS_PREFIX, claim->id, "/", NULL);
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, prefix),
-                 (struct jobs_kv_callback){on_results, claim});
+    results = platform_kv_new(PLATFORM_LIST, prefix);
+    results->limit = JOBS_PAGE_PIECES;
+    jobs_kv_send(jobs, results, (struct jobs_kv_callback){on_results, claim});
     g_free(prefix);
 }
 
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -9,6 +9,7 @@
  *   refusal.c    refusals of requests that another node may still serve
  *   read.c       reads of results and inputs, and ends of jobs, also of jobs
  *                that other nodes run
+ *   stored_results.c  results of a job in the key-value service
  *   archive.c    results of ended jobs that other nodes ran
  *   run.c        a job that this node runs: commits of its results
  *   checkpoint.c partial outputs of a job's unfinished items
@@ -43,6 +44,8 @@
     JOBS_WRITE_RETRY_MS = 300, /* after a commit or checkpoint that failed */
     JOBS_MAX_CHECKPOINT_PIECES = 8,
     JOBS_SERVER_SIZE = 64,
+    /* Pieces of results in one call; a service may return fewer. */
+    JOBS_PAGE_PIECES = 16,
 };
 
 enum jobs_work_state {
@@ -93,9 +96,12 @@
 struct jobs_run {
     struct jobs *jobs;
     struct jobs_job *job;
-    struct jobs_head head;    /* last known state in the key-value service */
-    int64_t revision;         /* revision of the head record */
-    GPtrArray *results;       /* of struct jobs_result, by position */
+    struct jobs_head head; /* last known state in the key-value service */
+    int64_t revision;      /* revision of the head record */
+    /* Of struct jobs_result: those from the position first_held on.  Earlier
+     * ones are read from the key-value service when they are requested. */
+    GPtrArray *results;
+    int first_held;
     struct jobs_work *works;  /* by item index */
     int n_open;               /* number of items neither done nor listed */
     int n_active;             /* number of items in admission or running */
@@ -239,6 +245,28 @@
 const struct platform_entry *jobs_kv_find_head(const struct platform_kv *kv,
                                                const char *id);
 
+/* ---- stored_results.c ---- */
+
+/* Results of a job from a position on. */
+struct jobs_stored_results {
+    bool is_ok;
+    struct base_error err; /* if not is_ok */
+    GPtrArray *results; /* of struct jobs_result; the receiver may steal it */
+    int first;          /* position of the first of them */
+    bool is_all;        /* they are all that the job has */
+};
+
+/* Called on the jobs task with the results of a read, which are freed
+ * afterwards. */
+struct jobs_stored_callback {
+    void (*on_done)(struct jobs *jobs, struct jobs_stored_results *stored,
+                    void *context);
+    void *context;
+};
+
+void jobs_stored_read(struct jobs *jobs, const struct jobs_head *head,
+                      int position, struct jobs_stored_callback callback);
+
 /* ---- jobs.c ---- */
 
 void jobs_reply(struct jobs *jobs, struct jobs_request *request,
@@ -278,6 +306,7 @@
 void jobs_run_free(struct jobs_run *run);
 void jobs_run_update_head(struct jobs_run *run, const struct jobs_head *head,
                           int64_t revision);
+int jobs_run_n_results(const struct jobs_run *run);
 bool jobs_run_is_complete(const struct jobs_run *run);
 
 /* ---- checkpoint.c ---- */
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -22,15 +22,18 @@
                            result->size);
 }
 
+/* Fills in the answer from the results from the position `first` on. */
 static void
-fill_answer(struct jobs_request *request, int total, const GPtrArray *results)
+fill_answer(struct jobs_request *request, int total, const GPtrArray *results,
+            int first)
 {
     struct jobs_answer *answer = &request->answer;
     size_t size = 0;
 
     answer->total = total;
     answer->results = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = (guint)request->after; i < results->len; i++) {
+    for (guint i = (guint)MAX(request->after - first, 0); i < results->len;
+         i++) {
         const struct jobs_result *result = results->pdata[i];
         if (answer->results->len > 0 &&
             size + result->size > MAX_REPLY_BYTES) {
@@ -58,15 +61,52 @@
 static bool
 has_new_results(const struct jobs_run *run, const struct jobs_request *request)
 {
-    return run->results->len > (guint)request->after ||
-           run->results->len == run->job->items->len;
+    return jobs_run_n_results(run) > request->after ||
+           jobs_run_is_complete(run);
+}
+
+static void
+on_stored_results(struct jobs *jobs, struct jobs_stored_results *stored,
+                  void *context)
+{
+    struct jobs_request *request = context;
+
+    if (!stored->is_ok) {
+        request->err = stored->err;
+        jobs_reply(jobs, request, JOBS_REFUSED);
+        return;
+    }
+    fill_answer(request, request->answer.total, stored->results,
+                stored->first);
+    if (request->is_final && stored->is_all) {
+        jobs_archive_add(&jobs->archive, request->id, request->job_operator,
+                         request->answer.total,
+                         g_steal_pointer(&stored->results));
+    }
+    jobs_reply(jobs, request, JOBS_OK);
+}
+
+/* Replies with results as they are stored. */
+static void
+reply_stored_results(struct jobs *jobs, struct jobs_request *request,
+                     const struct jobs_head *head)
+{
+    request->answer.total = (int)head->tokens->len;
+    jobs_stored_read(
+        jobs, head, request->after,
+        (struct jobs_stored_callback){on_stored_results, request});
 }
 
 static void
 reply_own_results(struct jobs *jobs, struct jobs_request *request,
                   const struct jobs_run *run)
 {
-    fill_answer(request, (int)run->job->items->len, run->results);
+    if (request->after < run->first_held) {
+        reply_stored_results(jobs, request, &run->head);
+        return;
+    }
+    fill_answer(request, (int)run->job->items->len, run->results,
+                run->first_held);
     jobs_reply(jobs, request, JOBS_OK);
 }
 
@@ -96,55 +136,6 @@
 
 /* ---- jobs of other nodes, read from the key-value service ---- */
 
-/* Decodes the stored results of a job. */
-static bool
-decode_results(const struct platform_kv *kv, GPtrArray *results,
-               struct base_error *err)
-{
-    for (guint i = 0; i < kv->entries->len; i++) {
-        const struct platform_entry *entry = kv->entries->pdata[i];
-        if (!jobs_is_checkpoint_key(entry->key) &&
-            !jobs_results_decode(entry->value, results, err)) {
-            return false;
-        }
-    }
-    if (!jobs_results_are_whole(results)) {
-        base_error_set(err, BASE_CORRUPT,
-                       "the rest of the last result is not stored");
-        return false;
-    }
-    return true;
-}
-
-static void
-on_results(struct jobs *jobs, struct platform_kv *kv, void *context)
-{
-    struct jobs_request *request = context;
-    GPtrArray *results;
-
-    if (kv->status != PLATFORM_OK) {
-        jobs_reply_kv_error(jobs, request, kv);
-        return;
-    }
-    results = g_ptr_array_new_with_free_func(jobs_result_free);
-    if (!decode_results(kv, results, &request->err)) {
-        base_log_error("jobs.results_unreadable", &request->err, "id=%s",
-                       request->id);
-        g_ptr_array_free(results, TRUE);
-        jobs_reply(jobs, request, JOBS_REFUSED);
-        return;
-    }
-    fill_answer(request, request->answer.total, results);
-    if (request->is_final) {
-        jobs_archive_add(&jobs->archive, request->id, request->job_operator,
-                         request->answer.total, results);
-    }
-    else {
-        g_ptr_array_free(results, TRUE);
-    }
-    jobs_reply(jobs, request, JOBS_OK);
-}
-
 static void
 on_input(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -176,15 +167,12 @@
 }
 
 static void
-list_job_records(struct jobs *jobs, struct jobs_request *request,
-                 const char *prefix,
-                 void (*on_done)(struct jobs *jobs, struct platform_kv *kv,
-                                 void *context))
+read_stored_input(struct jobs *jobs, struct jobs_request *request)
 {
-    char *key = g_strconcat(prefix, request->id, "/", NULL);
+    char *key = g_strconcat(JOBS_INPUT_PREFIX, request->id, "/", NULL);
 
     jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, key),
-                 (struct jobs_kv_callback){on_done, request});
+                 (struct jobs_kv_callback){on_input, request});
     g_free(key);
 }
 
@@ -300,15 +288,15 @@
         request->is_final = !jobs_head_is_open(head);
         if (head->listed->len <= (guint)request->after) {
             GPtrArray *none = g_ptr_array_new();
-            fill_answer(request, request->answer.total, none);
+            fill_answer(request, request->answer.total, none, 0);
             g_ptr_array_free(none, TRUE);
             jobs_reply(jobs, request, JOBS_OK);
             return;
         }
-        list_job_records(jobs, request, JOBS_RESULTS_PREFIX, on_results);
+        reply_stored_results(jobs, request, head);
         return;
     case JOBS_INPUT:
-        list_job_records(jobs, request, JOBS_INPUT_PREFIX, on_input);
+        read_stored_input(jobs, request);
         return;
     case JOBS_END:
         end_job(jobs, request, head, revision);
@@ -473,7 +461,7 @@
         return;
     }
     if (run == NULL && archived != NULL) {
-        fill_answer(request, archived->n_items, archived->results);
+        fill_answer(request, archived->n_items, archived->results, 0);
         jobs_reply(jobs, request, JOBS_OK);
         return;
     }
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -22,6 +22,7 @@
     g_strlcpy(head->id, id, sizeof(head->id));
     head->tokens = g_array_new(FALSE, TRUE, sizeof(int64_t));
     head->listed = g_array_new(FALSE, TRUE, sizeof(struct jobs_listed));
+    head->piece_starts = g_array_new(FALSE, TRUE, sizeof(int));
 }
 
 /* Frees the contents of a head. */
@@ -35,6 +36,7 @@
     if (head->tokens != NULL) {
         g_array_free(head->tokens, TRUE);
         g_array_free(head->listed, TRUE);
+        g_array_free(head->piece_starts, TRUE);
     }
     memset(head, 0, sizeof(*head));
 }
@@ -50,6 +52,19 @@
     to->region = g_strdup(from->region);
     to->tokens = g_array_copy(from->tokens);
     to->listed = g_array_copy(from->listed);
+    to->piece_starts = g_array_copy(from->piece_starts);
+}
+
+static json_t *
+encode_starts(const struct jobs_head *head)
+{
+    json_t *starts = json_array();
+
+    for (guint i = 0; i < head->piece_starts->len; i++) {
+        json_array_append_new(
+            starts, json_integer(g_array_index(head->piece_starts, int, i)));
+    }
+    return starts;
 }
 
 /* Encodes a head for storage; the caller owns the bytes.  Texts that cannot be
@@ -84,6 +99,9 @@
         "epoch", (json_int_t)head->epoch, "ended", head->is_ended,
         "input_pieces", head->n_input_pieces, "result_pieces",
         head->n_result_pieces, "tokens", tokens, "listed", listed);
+    if (head->piece_starts->len > 0) {
+        json_object_set_new(root, "piece_starts", encode_starts(head));
+    }
     if (head->operator_name[0] != '\0') {
         json_object_set_new(root, "operator",
                             base_json_text(head->operator_name));
@@ -126,6 +144,28 @@
     return n_items > 0;
 }
 
+/* Reads the positions at which pieces start.  A version of this program that
+ * knows none of them may have added pieces, and kept no list. */
+static void
+read_starts(const json_t *root, struct jobs_head *head)
+{
+    const json_t *starts = json_object_get(root, "piece_starts");
+    int last = 0;
+
+    if ((int)json_array_size(starts) != head->n_result_pieces) {
+        return;
+    }
+    for (size_t i = 0; i < json_array_size(starts); i++) {
+        int64_t value = json_integer_value(json_array_get(starts, i));
+        if (value < last || value > (int64_t)head->listed->len) {
+            g_array_set_size(head->piece_starts, 0);
+            return;
+        }
+        last = (int)value;
+        g_array_append_val(head->piece_starts, last);
+    }
+}
+
 /* Reads a string member into a buffer; "" if it is missing. */
 static void
 read_text(const json_t *root, const char *name, char *out, size_t size)
@@ -172,6 +212,7 @@
     out->n_result_pieces =
         (int)json_integer_value(json_object_get(root, "result_pieces"));
     is_ok = read_lists(root, out);
+    read_starts(root, out);
     json_decref(root);
     if (!is_ok) {
         base_error_set(err, BASE_CORRUPT,
@@ -197,6 +238,45 @@
            strcmp(head->operator_name, operator_name) == 0;
 }
 
+/* Adds pieces that a commit writes, of results from the position `first`
+ * on. */
+void
+jobs_head_add_pieces(struct jobs_head *head, int n_pieces, int first)
+{
+    bool is_known = (int)head->piece_starts->len == head->n_result_pieces;
+
+    for (int i = 0; is_known && i < n_pieces; i++) {
+        g_array_append_val(head->piece_starts, first);
+    }
+    head->n_result_pieces += n_pieces;
+}
+
+/* Returns the number of the first piece of the commit that has the result at a
+ * position; 0 if that is not known. */
+int
+jobs_head_find_piece(const struct jobs_head *head, int position)
+{
+    int found = 0;
+
+    for (int i = 1; i < (int)head->piece_starts->len; i++) {
+        int start = g_array_index(head->piece_starts, int, i);
+        if (start <= position && start > jobs_head_piece_start(head, found)) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+/* Returns the position of the first result of the commit that wrote a
+ * piece. */
+int
+jobs_head_piece_start(const struct jobs_head *head, int piece)
+{
+    return piece < (int)head->piece_starts->len
+               ? g_array_index(head->piece_starts, int, piece)
+               : 0;
+}
+
 /* Returns the sum of the tokens of items without a result; 0 for a job that
  * has ended. */
 int64_t
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -71,6 +71,10 @@
     int n_result_pieces;
     GArray *tokens; /* of int64_t, by item index */
     GArray *listed; /* of struct jobs_listed, by position */
+    /* Of int, by piece of the results: position of the first result of the
+     * commit that wrote the piece.  Empty if an earlier version of this
+     * program wrote some of the pieces. */
+    GArray *piece_starts;
 };
 
 void jobs_head_init(struct jobs_head *head, const char *id);
@@ -82,6 +86,9 @@
 bool jobs_head_is_open(const struct jobs_head *head);
 bool jobs_head_admits(const struct jobs_head *head, const char *operator_name);
 int64_t jobs_head_waiting_tokens(const struct jobs_head *head);
+void jobs_head_add_pieces(struct jobs_head *head, int n_pieces, int first);
+int jobs_head_find_piece(const struct jobs_head *head, int position);
+int jobs_head_piece_start(const struct jobs_head *head, int piece);
 
 char *jobs_head_key(const char *id);
 char *jobs_done_key(const char *id);
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -66,8 +66,8 @@
 }
 
 /* Starts to run a job whose head names this runner.  Takes ownership of the
- * job and of `results`, the results of earlier runners or NULL; copies the
- * head. */
+ * job and of `results`, those of earlier runners; copies the head.  With NULL
+ * the listed results are not held here but read from the store. */
 struct jobs_run *
 jobs_run_start(struct jobs *jobs, struct jobs_job *job, struct jobs_head *head,
                int64_t revision, GPtrArray *results)
@@ -81,6 +81,7 @@
     run->results = results != NULL
                        ? results
                        : g_ptr_array_new_with_free_func(jobs_result_free);
+    run->first_held = (int)(head->listed->len - run->results->len);
     run->works = g_new0(struct jobs_work, job->items->len);
     run->committing = g_array_new(FALSE, TRUE, sizeof(int));
     run->piece_bytes = jobs_piece_bytes(jobs->limits);
@@ -97,8 +98,9 @@
     g_hash_table_replace(jobs->runs, run->head.id, run);
     base_log(BASE_LOG_INFO, "jobs.running",
              "id=%s epoch=%" G_GINT64_FORMAT
-             " open=%d due_ms=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT,
-             run->head.id, run->head.epoch, run->n_open,
+             " open=%d first_held=%d due_ms=%" G_GINT64_FORMAT
+             " revision=%" G_GINT64_FORMAT,
+             run->head.id, run->head.epoch, run->n_open, run->first_held,
              run->due_at_ms - base_wall_ms(), revision);
     return run;
 }
@@ -146,11 +148,18 @@
     }
 }
 
+/* Returns the number of committed results. */
+int
+jobs_run_n_results(const struct jobs_run *run)
+{
+    return run->first_held + (int)run->results->len;
+}
+
 /* Returns whether all items of the job have committed results. */
 bool
 jobs_run_is_complete(const struct jobs_run *run)
 {
-    return run->results->len == run->job->items->len;
+    return jobs_run_n_results(run) == (int)run->job->items->len;
 }
 
 /* Stops a run: cancels its running items and removes it from jobs->runs. */
@@ -472,7 +481,8 @@
     }
     run->commit_pieces = jobs_results_split(results, run->piece_bytes);
     g_ptr_array_free(results, TRUE);
-    run->next_head.n_result_pieces += (int)run->commit_pieces->len;
+    jobs_head_add_pieces(&run->next_head, (int)run->commit_pieces->len,
+                         (int)run->head.listed->len);
     run->is_releasing = may_release && !run->has_more_results;
     if (run->is_releasing) {
         run->next_head.runner[0] = '\0';
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -43,6 +43,10 @@
     int n_commits = 0;
     int64_t value_bytes = 1 << 20; /* larger values are rejected */
     int n_rejected = 0;
+    size_t page_bytes = 1 << 20; /* of values in a reply to a list */
+    /* Of values in all pages of a list; one that needs more gets no answer, as
+     * over a link that is too slow for it. */
+    size_t list_bytes = SIZE_MAX;
     std::atomic<int> n_scans{0}; /* reads of all jobs */
     std::atomic<bool> is_down{false};
     /* contracts */
@@ -198,6 +202,32 @@
     }
 }
 
+/* Returns one page if the list is limited, otherwise all. */
+void
+list_records(struct platform_kv *kv)
+{
+    size_t size = 0;
+
+    for (const auto &[key, at] : fake->records) {
+        if (key.rfind(kv->key, 0) != 0 ||
+            (kv->after != nullptr && key <= kv->after)) {
+            continue;
+        }
+        size += at.value.size();
+        if (kv->limit > 0 && kv->entries->len > 0 &&
+            (size > fake->page_bytes || kv->entries->len == kv->limit)) {
+            kv->has_more = true;
+            return;
+        }
+        add_entry(kv, key, at);
+    }
+    if (size > fake->list_bytes) {
+        g_ptr_array_set_size(kv->entries, 0);
+        kv->status = PLATFORM_UNAVAILABLE;
+        kv->verdict = BASE_NOT_RUN;
+    }
+}
+
 void
 serve_kv(struct platform_kv *kv)
 {
@@ -210,11 +240,7 @@
         return;
     case PLATFORM_LIST:
         fake->n_scans += strcmp(kv->key, JOBS_ACTIVE_PREFIX) == 0 ? 1 : 0;
-        for (const auto &[key, at] : fake->records) {
-            if (key.rfind(kv->key, 0) == 0) {
-                add_entry(kv, key, at);
-            }
-        }
+        list_records(kv);
         return;
     case PLATFORM_PUT_IF:
     case PLATFORM_DELETE_IF:
@@ -309,6 +335,7 @@
         g_bytes_unref(kv->value);
     }
     g_free(kv->key);
+    g_free(kv->after);
     g_free(kv);
 }
 
@@ -2144,6 +2171,85 @@
     }
 }
 
+/* Reads results as clients do, page by page, until there are n; stops after
+ * about ten seconds. */
+std::vector<std::string>
+read_on(Node &node, size_t n)
+{
+    std::vector<std::string> out;
+    for (int i = 0; i < 1000 && out.size() < n; i++) {
+        auto page = node.read("j", (int)out.size());
+        out.insert(out.end(), page.begin(), page.end());
+        g_usleep(page.empty() ? 10000 : 0);
+    }
+    return out;
+}
+
+/* Guards against jobs that no node takes over, and results that no node can
+ * read, because the results listed so far are more than the link to the store
+ * carries in the time of one call. */
+TEST(Jobs, ALinkTooSlowForAllResultsDelaysNoOtherItems)
+{
+    enum { N_ITEMS = 40, N_FIRST = 30, TEXT_BYTES = 1000 };
+    struct {
+        const char *name;
+        size_t text_bytes;
+        bool is_planned; /* the node releases the job; else it is lost */
+    } cases[] = {
+        {"the runner is lost", TEXT_BYTES, false},
+        {"a planned stop", TEXT_BYTES, true},
+        {"each result has several pieces", 10 * TEXT_BYTES, false},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::atomic<bool> is_blocked{true};
+        Site site([&](int fd, const std::string &request) {
+            std::string id = test_header(request, "x-id");
+            if (is_blocked && atoi(id.c_str() + 1) >= N_FIRST) {
+                test_wait_for_close(fd);
+                return;
+            }
+            test_write(
+                fd, head(request) +
+                        chunk(event_of(1, random_text(id, row.text_bytes))) +
+                        "0\r\n\r\n");
+        });
+        site.store.value_bytes = 8192;
+        site.known_value_bytes = 8192;
+        site.store.page_bytes = 10000;
+        site.store.list_bytes = 20000;
+        auto one = std::make_unique<Node>(site, "n1");
+        Node two(site, "n2");
+        ASSERT_EQ(one->submit("j", item_ids(N_ITEMS)), JOBS_OK);
+        auto listed = read_on(*one, N_FIRST);
+        ASSERT_EQ(listed.size(), (size_t)N_FIRST);
+        is_blocked = false;
+        if (row.is_planned) {
+            jobs_drain(one->jobs);
+        }
+        else {
+            one->stop();
+            end_leases_of("n1");
+            site.members[0].state = MEMBERS_DEAD;
+            two.update(site.world);
+        }
+        auto all = read_on(two, N_ITEMS);
+        ASSERT_EQ(all.size(), (size_t)N_ITEMS);
+        EXPECT_TRUE(std::equal(listed.begin(), listed.end(), all.begin()))
+            << "positions have changed";
+        std::set<std::string> want;
+        for (int i = 0; i < N_ITEMS; i++) {
+            std::string id = "i" + std::to_string(i);
+            want.insert(id + "=" + random_text(id, row.text_bytes));
+        }
+        EXPECT_EQ(as_set(all), want);
+        site.members.resize(3);
+        Node three(site, "n3");
+        EXPECT_EQ(read_on(three, N_ITEMS), all) << "read from the records";
+    }
+}
+
 /* Guards against jobs that the store can never take and that clients hand in
  * again and again, and against messages that close the connection between
  * nodes: both were answered as if the job could be served later. */
--- a/packages/jobs/test_record.cc
+++ b/packages/jobs/test_record.cc
@@ -55,6 +55,60 @@
     jobs_head_finish(&decoded);
 }
 
+/* Guards against results that are skipped or returned twice by a read that
+ * starts at a piece. */
+TEST(Record, AHeadTellsWhichPieceHasAPosition)
+{
+    struct {
+        const char *name;
+        std::vector<std::pair<int, int>> commits; /* pieces and results */
+        int n_unknown;           /* pieces that an earlier version wrote */
+        std::vector<int> pieces; /* expected, by position */
+        std::vector<int> starts; /* of these pieces */
+    } cases[] = {
+        {"one commit", {{1, 3}}, 0, {0, 0, 0}, {0, 0, 0}},
+        {"a result in three pieces",
+         {{1, 2}, {3, 1}, {1, 1}},
+         0,
+         {0, 0, 1, 4},
+         {0, 0, 2, 3}},
+        {"an earlier version wrote some",
+         {{1, 2}, {1, 2}},
+         1,
+         {0, 0, 0, 0},
+         {0, 0, 0, 0}},
+    };
+
+    for (auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        struct jobs_head head = make_head();
+        struct jobs_head decoded;
+        struct base_error err = {};
+        int64_t tokens = 1;
+        g_array_set_size(head.listed, 0);
+        head.n_result_pieces = row.n_unknown;
+        for (auto [n_pieces, n_results] : row.commits) {
+            jobs_head_add_pieces(&head, n_pieces, (int)head.listed->len);
+            for (int i = 0; i < n_results; i++) {
+                struct jobs_listed listed = {(int)head.listed->len, true};
+                g_array_append_val(head.tokens, tokens);
+                g_array_append_val(head.listed, listed);
+            }
+        }
+        GBytes *bytes = jobs_head_encode(&head);
+        ASSERT_TRUE(jobs_head_decode("j", bytes, &decoded, &err)) << err.text;
+        for (int i = 0; i < (int)decoded.listed->len; i++) {
+            int piece = jobs_head_find_piece(&decoded, i);
+            EXPECT_EQ(piece, row.pieces[i]) << i;
+            EXPECT_EQ(jobs_head_piece_start(&decoded, piece), row.starts[i])
+                << i;
+        }
+        g_bytes_unref(bytes);
+        jobs_head_finish(&head);
+        jobs_head_finish(&decoded);
+    }
+}
+
 /* A head that another version wrote, or that is damaged, must not crash the
  * node. */
 TEST(Record, AnInvalidHeadIsReportedAsCorrupt)
--- a/packages/platform/http.c
+++ b/packages/platform/http.c
@@ -1,12 +1,16 @@
 #include "platform/http.h"
 
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 enum {
     CONNECTIONS = 64,
     WRITE_BYTES = 16384,
     READ_BYTES = 16384,
     MAX_RESPONSE_BYTES = 256 << 20,
+    /* A larger one would hide how much of a body the other side has taken. */
+    SEND_BUFFER_BYTES = 131072,
     /* Long enough that libwebsockets does not end a long poll; each call has
      * a timer of its own. */
     LIBRARY_TIMEOUT_S = 24 * 3600,
@@ -21,6 +25,7 @@
     int64_t timeout_ms;
     GString *request_body; /* NULL: none */
     size_t n_written;
+    size_t n_since_progress; /* bytes of bodies since the timer was set */
     GString *response_body;
     struct platform_http_result result;
 };
@@ -81,6 +86,34 @@
                      (lws_usec_t)call->timeout_ms * LWS_US_PER_MS);
 }
 
+/* Counts bytes of a body that were sent or received; enough of them start the
+ * time limit anew. */
+static void
+record_transfer(struct platform_http_call *call, size_t size, bool is_response)
+{
+    call->n_since_progress += size;
+    if (call->n_since_progress < PLATFORM_HTTP_PROGRESS_BYTES) {
+        return;
+    }
+    call->n_since_progress = 0;
+    if (call->ops->progress != NULL) {
+        call->ops->progress(call->context, is_response);
+    }
+    arm_timeout(call);
+}
+
+static void
+limit_send_buffer(struct lws *wsi)
+{
+    int size = SEND_BUFFER_BYTES;
+
+    if (setsockopt(lws_get_socket_fd(wsi), SOL_SOCKET, SO_SNDBUF, &size,
+                   sizeof(size)) < 0) {
+        base_log(BASE_LOG_DEBUG, "kv.send_buffer", "error=\"%s\"",
+                 g_strerror(errno));
+    }
+}
+
 static int
 append_headers(struct platform_http_call *call, struct lws *wsi,
                unsigned char **at, size_t room)
@@ -103,6 +136,7 @@
                                      end)) {
         return -1;
     }
+    limit_send_buffer(wsi);
     lws_client_http_body_pending(wsi, 1);
     lws_callback_on_writable(wsi);
     return 0;
@@ -129,6 +163,7 @@
         return -1;
     }
     call->n_written += size;
+    record_transfer(call, size, false);
     if (!is_last) {
         lws_callback_on_writable(wsi);
     }
@@ -171,6 +206,7 @@
         return -1;
     }
     g_string_append_len(call->response_body, data, (gssize)size);
+    record_transfer(call, size, true);
     return 0;
 }
 
@@ -329,6 +365,13 @@
     return call;
 }
 
+/* Changes the longest time without progress, from the next progress on. */
+void
+platform_http_set_timeout(struct platform_http_call *call, int64_t timeout_ms)
+{
+    call->timeout_ms = timeout_ms;
+}
+
 /* Closes the call's connection and frees the call; ops->done does not run.
  * Must not be called from ops->done of the same call. */
 void
--- a/packages/platform/http.h
+++ b/packages/platform/http.h
@@ -42,17 +42,25 @@
     /* For a streamed response, else NULL: receives the body in pieces.  With
      * status 200 the result then has no body. */
     void (*data)(void *context, const char *data, size_t size);
+    /* NULL: not needed.  Runs after each further PLATFORM_HTTP_PROGRESS_BYTES
+     * of a body that is not streamed; is_response: of the response. */
+    void (*progress)(void *context, bool is_response);
 };
 
+/* Bytes of a body after which the time limit of a call starts anew. */
+enum { PLATFORM_HTTP_PROGRESS_BYTES = 16384 };
+
 struct platform_http_request {
     const struct platform_http_ops *ops;
     void *context;
     const char *address; /* "IP:port" */
     const char *method;
     const char *path;
-    GString *body;      /* owned by the call; NULL: none */
-    int64_t timeout_ms; /* of the whole call; for a stream, of a pause in its
-                           data */
+    GString *body; /* owned by the call; NULL: none */
+    /* Longest time without progress: for a stream without data, otherwise
+     * without PLATFORM_HTTP_PROGRESS_BYTES.  A small call thus has no longer
+     * in all, while a large one may take what its link needs. */
+    int64_t timeout_ms;
 };
 
 struct platform_http_call;
@@ -62,6 +70,8 @@
 struct platform_http_call *
 platform_http_send(struct platform_http *http,
                    const struct platform_http_request *request);
+void platform_http_set_timeout(struct platform_http_call *call,
+                               int64_t timeout_ms);
 void platform_http_cancel(struct platform_http_call *call);
 
 #endif
--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -11,7 +11,9 @@
 enum { FIRST_ATTEMPT_DIVISOR = 3, MIN_ATTEMPT_MS = 50 };
 
 /* An operation under way.  It takes one or more attempts, each an HTTP call,
- * until there is a result or the deadline has passed. */
+ * until there is a result or the deadline has passed.  Each page of a list and
+ * each part of a large body moves the deadline, since the time that these need
+ * depends on their size and on the link. */
 struct platform_operation {
     struct platform *platform;
     struct platform_kv *kv;
@@ -20,6 +22,7 @@
     const char *endpoint;            /* of the open attempt */
     lws_sorted_usec_list_t deadline;
     lws_sorted_usec_list_t backoff;
+    int64_t timeout_ms; /* longest time without progress */
     int64_t deadline_ms;
     int64_t attempt_sent_ms;
     int failures;
@@ -82,6 +85,29 @@
     reply(operation);
 }
 
+static void
+set_deadline(struct platform_operation *operation)
+{
+    operation->deadline_ms = base_clock_ms() + operation->timeout_ms;
+    platform_start_timer(operation->platform, &operation->deadline,
+                         on_deadline, operation->timeout_ms);
+}
+
+/* Part of a large body was transferred: the connection works, so that the
+ * attempt need not leave time for another one.  A response shows that the
+ * service answers, and other calls need not wait for the end of this one. */
+static void
+on_progress(void *context, bool is_response)
+{
+    struct platform_operation *operation = context;
+
+    set_deadline(operation);
+    platform_http_set_timeout(operation->http, operation->timeout_ms);
+    if (is_response) {
+        platform_call_succeeded(operation->platform);
+    }
+}
+
 static void
 on_backoff_timer(lws_sorted_usec_list_t *timer)
 {
@@ -105,6 +131,32 @@
     operation->failures++;
 }
 
+/* Decodes the response of an attempt.  A page that does not lead on from the
+ * one before would make a list endless. */
+static enum platform_decoded
+decode_result(struct platform_operation *operation,
+              const struct platform_http_result *result)
+{
+    struct platform_kv *kv = operation->kv;
+    guint n_entries = kv->entries->len;
+    char *after = g_strdup(kv->after);
+    enum platform_decoded decoded = operation->platform->dialect->decode(
+        kv, operation->may_have_run, result->status, result->body,
+        result->size);
+
+    if (decoded == PLATFORM_DECODE_MORE && after != NULL &&
+        strcmp(kv->after, after) <= 0) {
+        base_log(BASE_LOG_WARNING, "kv.list_repeats", "key=%s after=%s",
+                 kv->key, after);
+        g_ptr_array_set_size(kv->entries, (gint)n_entries);
+        g_free(kv->after);
+        kv->after = after;
+        return PLATFORM_DECODE_BAD;
+    }
+    g_free(after);
+    return decoded;
+}
+
 static void
 on_attempt_done(void *context, const struct platform_http_result *result)
 {
@@ -113,9 +165,7 @@
 
     operation->http = NULL;
     if (result->is_complete) {
-        decoded = operation->platform->dialect->decode(
-            operation->kv, operation->may_have_run, result->status,
-            result->body, result->size);
+        decoded = decode_result(operation, result);
     }
     if (decoded == PLATFORM_DECODED || decoded == PLATFORM_DECODE_MORE) {
         platform_call_succeeded(operation->platform);
@@ -129,6 +179,7 @@
         reply(operation);
         return;
     case PLATFORM_DECODE_MORE:
+        set_deadline(operation);
         platform_queue_call(operation->platform, &operation->queued_call);
         return;
     case PLATFORM_DECODE_REFUSED:
@@ -166,7 +217,10 @@
 static void
 send_attempt(struct platform_queued_call *queued_call)
 {
-    static const struct platform_http_ops OPS = {on_attempt_done, NULL};
+    static const struct platform_http_ops OPS = {
+        .done = on_attempt_done,
+        .progress = on_progress,
+    };
     struct platform_operation *operation =
         lws_container_of(queued_call, struct platform_operation, queued_call);
     struct platform *platform = operation->platform;
@@ -265,8 +319,6 @@
     struct platform *platform = state;
     struct platform_kv *kv = (struct platform_kv *)call;
     struct platform_operation *operation;
-    int64_t timeout_ms =
-        kv->timeout_ms > 0 ? kv->timeout_ms : platform->call_timeout_ms;
 
     if (!is_allowed(platform, kv)) {
         kv->status = PLATFORM_REJECTED;
@@ -278,12 +330,12 @@
     operation = g_new0(struct platform_operation, 1);
     operation->platform = platform;
     operation->kv = kv;
-    operation->deadline_ms = base_clock_ms() + timeout_ms;
+    operation->timeout_ms =
+        kv->timeout_ms > 0 ? kv->timeout_ms : platform->call_timeout_ms;
     platform_queued_call_init(&operation->queued_call, send_attempt,
                               is_lease_op(kv->op));
     g_hash_table_add(platform->operations, operation);
-    platform_start_timer(platform, &operation->deadline, on_deadline,
-                         timeout_ms);
+    set_deadline(operation);
     if (platform_endpoint(platform) != NULL) {
         platform_queue_call(platform, &operation->queued_call);
     }
@@ -414,8 +466,8 @@
     platform_kv_free((struct platform_kv *)call);
 }
 
-/* Sends an operation.  `answered` runs on the task `from` soon after
- * kv->timeout_ms at the latest, and takes ownership of kv. */
+/* Sends an operation.  `answered` runs on the task `from`, soon after
+ * kv->timeout_ms without progress at the latest, and takes ownership of kv. */
 void
 platform_kv_send(struct platform *platform, struct platform_kv *kv,
                  struct base_task *from,
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -92,11 +92,12 @@
     GPtrArray *conditions; /* PLATFORM_TXN: platform_kv_expect adds */
     GPtrArray *writes;     /* PLATFORM_TXN: platform_kv_write adds */
     bool is_plain;         /* store the value without an identity */
-    int64_t timeout_ms;    /* of all attempts together; 0: the platform's
-                              call_timeout_ms */
-    int64_t limit;         /* PLATFORM_LIST: maximum number of keys; 0: all */
-    char *after;           /* PLATFORM_LIST: only keys after this one */
-    char write_id[17];     /* the write's identity, hexadecimal */
+    /* Of all attempts together; 0: the platform's call_timeout_ms.  It starts
+     * anew with each page of a list and each 16 KiB of a body. */
+    int64_t timeout_ms;
+    int64_t limit;     /* PLATFORM_LIST: maximum number of keys; 0: all */
+    char *after;       /* PLATFORM_LIST: only keys after this one */
+    char write_id[17]; /* the write's identity, hexadecimal */
     /* response */
     enum platform_status status;
     enum base_verdict verdict;
--- a/packages/platform/poll.c
+++ b/packages/platform/poll.c
@@ -233,7 +233,7 @@
 static void
 send_call(struct platform_queued_call *queued_call)
 {
-    static const struct platform_http_ops OPS = {on_call_done, NULL};
+    static const struct platform_http_ops OPS = {.done = on_call_done};
     struct platform_poll *poll =
         lws_container_of(queued_call, struct platform_poll, queued_call);
     struct platform *platform = poll->platform;
--- a/packages/platform/services.c
+++ b/packages/platform/services.c
@@ -35,7 +35,7 @@
                   void (*answered)(struct base_call *call,
                                    const struct platform_http_result *result))
 {
-    static const struct platform_http_ops OPS = {on_service_done, NULL};
+    static const struct platform_http_ops OPS = {.done = on_service_done};
     struct service_call *open_call = g_new0(struct service_call, 1);
 
     open_call->platform = platform;
--- a/packages/platform/test_fake_kv.h
+++ b/packages/platform/test_fake_kv.h
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstring>
 #include <functional>
@@ -73,6 +74,10 @@
     std::function<void(FakeKv *)> before_effect; /* for each request */
     int64_t revision = 10;
     int port = 0;
+    /* Links that are slow: bytes in a second, 0: without limit. */
+    size_t response_bytes_per_s = 0;
+    size_t request_bytes_per_s = 0;
+    bool repeats_pages = false; /* sends the first page of a list each time */
 
     FakeKv()
     {
@@ -82,6 +87,8 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         listener = socket(AF_INET, SOCK_STREAM, 0);
         EXPECT_EQ(bind(listener, (sockaddr *)&address, sizeof(address)), 0);
+        int buffer = 32768; /* what is sent is soon received, or waits */
+        setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
         EXPECT_EQ(listen(listener, 64), 0);
         getsockname(listener, (sockaddr *)&address, &size);
         port = ntohs(address.sin_port);
@@ -145,6 +152,7 @@
     std::mutex lock;
     size_t next = 0;
     int watches = 0;
+    std::string list_start;
 
     bool
     wait_readable(int fd)
@@ -184,6 +192,7 @@
                 return false;
             }
             text.append(buffer, (size_t)n);
+            pause(n, request_bytes_per_s);
             head = text.find("\r\n\r\n");
             size_t at = strcasestr(text.c_str(), "content-length:")
                             ? strcasestr(text.c_str(), "content-length:") -
@@ -198,13 +207,29 @@
         return true;
     }
 
+    /* Waits as long as a link of some bytes in a second takes for n. */
     static void
+    pause(ssize_t n, size_t bytes_per_s)
+    {
+        if (bytes_per_s > 0) {
+            g_usleep((gulong)n * G_USEC_PER_SEC / bytes_per_s);
+        }
+    }
+
+    void
     send_text(int fd, const std::string &text)
     {
-        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        size_t part = response_bytes_per_s > 0 ? 4096 : text.size();
+        for (size_t at = 0; at < text.size() && !is_ending; at += part) {
+            size_t n = std::min(part, text.size() - at);
+            if (send(fd, text.data() + at, n, MSG_NOSIGNAL) < 0) {
+                return;
+            }
+            pause((ssize_t)n, response_bytes_per_s);
+        }
     }
 
-    static void
+    void
     send_response(int fd, int status, const std::string &body)
     {
         send_text(fd, "HTTP/1.1 " + std::to_string(status) +
@@ -290,9 +315,11 @@
     }
 
     std::string
-    range(const json_t *request) const
+    range(const json_t *request)
     {
         std::string first = decode_member(request, "key");
+        list_start = list_start.empty() ? first : list_start;
+        first = repeats_pages ? list_start : first;
         std::string end = decode_member(request, "range_end");
         long limit = atol(text_member(request, "limit").c_str());
         std::string list;
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -185,6 +185,70 @@
 
 INSTANTIATE_TEST_SUITE_P(Cases, Write, ::testing::ValuesIn(WRITES));
 
+/* Guards against reads and writes that never succeed because their size, over
+ * the link at hand, takes longer than the time limit of a call (900 ms here);
+ * and against calls without end. */
+struct transfer_case {
+    const char *name;
+    int n_keys; /* stored, to be listed; 0: one is written */
+    size_t value_bytes;
+    int delay_ms; /* before each response */
+    size_t response_bytes_per_s;
+    size_t request_bytes_per_s;
+    bool repeats_pages;
+    enum platform_status status;
+};
+
+class Transfer : public ::testing::TestWithParam<transfer_case> {};
+
+TEST_P(Transfer, TakesAsLongAsItMakesProgress)
+{
+    const transfer_case &row = GetParam();
+    std::string value(row.value_bytes, 'x');
+    FakeKv fake;
+    int delay_ms = row.delay_ms;
+    fake.response_bytes_per_s = row.response_bytes_per_s;
+    fake.request_bytes_per_s = row.request_bytes_per_s;
+    fake.repeats_pages = row.repeats_pages;
+    fake.before_effect = [delay_ms](FakeKv *) { g_usleep(delay_ms * 1000); };
+    for (int i = 0; i < row.n_keys; i++) {
+        gchar *text =
+            g_base64_encode((const guchar *)value.data(), value.size());
+        char key[16];
+        g_snprintf(key, sizeof(key), "/l/%06d", i);
+        fake.records[key] = {text, 10};
+        g_free(text);
+    }
+    fake.start();
+    Client client({fake.address()});
+    if (row.n_keys == 0) {
+        EXPECT_EQ(client.put("/a", value.c_str(), PLATFORM_ABSENT)->status,
+                  row.status);
+        return;
+    }
+    struct platform_kv *kv =
+        client.call(platform_kv_new(PLATFORM_LIST, "/l/"));
+    EXPECT_EQ(kv->status, row.status) << kv->err.text;
+    if (row.status == PLATFORM_OK) {
+        EXPECT_EQ(kv->entries->len, (guint)row.n_keys);
+    }
+}
+
+const transfer_case TRANSFERS[] = {
+    {"pages that take longer together", 1100, 10, 200, 0, 0, false,
+     PLATFORM_OK},
+    {"a large page over a slow link", 1, 300000, 0, 200000, 0, false,
+     PLATFORM_OK},
+    {"a large write over a slow link", 0, 1000000, 0, 0, 500000, false,
+     PLATFORM_OK},
+    {"a page that hardly gets on", 1, 300000, 0, 8000, 0, false,
+     PLATFORM_UNAVAILABLE},
+    {"the same page again and again", 300, 10, 0, 0, 0, true,
+     PLATFORM_UNAVAILABLE},
+};
+
+INSTANTIATE_TEST_SUITE_P(Cases, Transfer, ::testing::ValuesIn(TRANSFERS));
+
 TEST(Platform, ConflictReturnsTheCurrentRecord)
 {
     FakeKv fake;
--- a/packages/platform/watch.c
+++ b/packages/platform/watch.c
@@ -203,8 +203,8 @@
 static void
 open_stream(struct platform_queued_call *queued_call)
 {
-    static const struct platform_http_ops OPS = {on_stream_done,
-                                                 on_stream_data};
+    static const struct platform_http_ops OPS = {.done = on_stream_done,
+                                                 .data = on_stream_data};
     struct platform_watcher *watcher =
         lws_container_of(queued_call, struct platform_watcher, queued_call);
     struct platform *platform = watcher->platform;
