Keep items with the route that accepted them

Cause: a job's route was found again by the path of its submission, where the longest prefix wins; a route of another kind there meant that the job's route was gone. The log names the route as removed at a revision that has it.

Change: an accepted job's route is that of the name in its head, while its prefix covers the path; limits, services, estimates and the end of the route go by it.

--- a/packages/jobs/admission.c
+++ b/packages/jobs/admission.c
@@ -295,7 +295,7 @@
         if (run->has_stopped || run->is_releasing || run->n_open == 0 ||
             (best != NULL && dispatch_rank(run, wall_ms) >=
                                  dispatch_rank(best->run, wall_ms)) ||
-            jobs_find_route(jobs, run->head.host, run->head.path) == NULL) {
+            jobs_route_of(jobs, &run->head) == NULL) {
             continue;
         }
         work = find_waiting_item(run, now_ms);
@@ -318,7 +318,6 @@
     while (jobs->n_admissions < MAX_ADMISSIONS &&
            jobs->n_admissions + jobs->n_running < MAX_RUNNING &&
            (work = find_next_item(jobs, now_ms)) != NULL) {
-        begin_admission(work, jobs_find_route(jobs, work->run->head.host,
-                                              work->run->head.path));
+        begin_admission(work, jobs_route_of(jobs, &work->run->head));
     }
 }
--- a/packages/jobs/cost.c
+++ b/packages/jobs/cost.c
@@ -41,10 +41,7 @@
 fill_key(const struct jobs_work *work, int server, struct work_key *out)
 {
     const struct jobs *jobs = work->run->jobs;
-    const struct jobs_head *head = &work->run->head;
-    const struct world_ingress *route =
-        jobs->world == NULL ? NULL
-                            : jobs_find_route(jobs, head->host, head->path);
+    const struct world_ingress *route = jobs_route_of(jobs, &work->run->head);
 
     if (route == NULL || server == WORLD_NONE) {
         return false;
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -109,9 +109,8 @@
                kv->verdict == BASE_NOT_RUN ? JOBS_REFUSED : JOBS_UNCERTAIN);
 }
 
-/* Returns the route of a job in the current configuration, or NULL when it
- * has been removed.  A route of another kind that has taken over the path is
- * none for jobs. */
+/* Returns the route for a submission in the current configuration, or NULL if
+ * there is none or it is of another kind. */
 const struct world_ingress *
 jobs_find_route(const struct jobs *jobs, const char *host, const char *path)
 {
@@ -122,6 +121,27 @@
     return route != NULL && route->kind == WORLD_INGRESS_BATCH ? route : NULL;
 }
 
+/* Returns the route of an accepted job in the current configuration, or NULL
+ * when it has been removed.  A job stays with the route that accepted it while
+ * others with longer prefixes come and go.  If that one has another name or
+ * prefix now, the path decides. */
+const struct world_ingress *
+jobs_route_of(const struct jobs *jobs, const struct jobs_head *head)
+{
+    const struct world *world = jobs->world;
+
+    for (int i = 0; world != NULL && i < world->n_ingress; i++) {
+        const struct world_ingress *route = &world->ingress[i];
+        if (route->kind == WORLD_INGRESS_BATCH &&
+            strcmp(route->name, head->route) == 0 &&
+            g_ascii_strcasecmp(route->host, head->host) == 0 &&
+            g_str_has_prefix(head->path, route->prefix)) {
+            return route;
+        }
+    }
+    return jobs_find_route(jobs, head->host, head->path);
+}
+
 /* ---- calls ---- */
 
 static void
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -275,6 +275,8 @@
                          const struct platform_kv *kv);
 const struct world_ingress *
 jobs_find_route(const struct jobs *jobs, const char *host, const char *path);
+const struct world_ingress *jobs_route_of(const struct jobs *jobs,
+                                          const struct jobs_head *head);
 int jobs_find_home(const struct jobs *jobs, const char *region, const char *id,
                    int except);
 bool jobs_forward(struct jobs *jobs, struct jobs_request *request, int node,
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -52,8 +52,7 @@
 static void
 update_limits(struct jobs_run *run)
 {
-    const struct world_ingress *route =
-        jobs_find_route(run->jobs, run->head.host, run->head.path);
+    const struct world_ingress *route = jobs_route_of(run->jobs, &run->head);
 
     if (route == NULL) {
         return; /* keeps the old limits; without a route no item is sent */
@@ -525,7 +524,7 @@
     if (jobs->world == NULL || run->head.config_revision == 0 ||
         jobs->world->revision <= run->head.config_revision ||
         !jobs_holds_lease(jobs) || !control_has_newest_config(jobs->control) ||
-        jobs_find_route(jobs, run->head.host, run->head.path) != NULL) {
+        jobs_route_of(jobs, &run->head) != NULL) {
         run->route_removed_ms = 0;
         return false;
     }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -568,13 +568,21 @@
         base_counters_finish(&counters);
     }
 
+    /* A route that a world has besides that of the jobs. */
+    struct further_route {
+        const char *prefix;
+        enum world_ingress_kind kind;
+    };
+
     struct world *
     make_world(const std::vector<std::string> &names,
                const char *prefix = "/b/", int64_t number = 1,
-               enum world_ingress_kind kind = WORLD_INGRESS_BATCH)
+               enum world_ingress_kind kind = WORLD_INGRESS_BATCH,
+               const std::vector<further_route> &further = {})
     {
         struct world_site_split split = {(char *)"s", 1};
-        struct world_site_route route = {};
+        std::vector<struct world_site_route> routes(1 + further.size());
+        struct world_site_route &route = routes[0];
         struct world_site_service service = {(char *)"s", 8, 0};
         /* Each server is in a zone, and so in a pool, of its own. */
         struct world_site_zone zones[] = {{(char *)"z", (char *)"r"},
@@ -608,8 +616,15 @@
         site.number = number;
         site.services = &service;
         site.n_services = 1;
-        site.routes = &route;
-        site.n_routes = 1;
+        for (size_t i = 0; i < further.size(); i++) {
+            routes[i + 1] = route;
+            routes[i + 1].name = (char *)further[i].prefix;
+            routes[i + 1].prefix = (char *)further[i].prefix;
+            routes[i + 1].kind = further[i].kind;
+            routes[i + 1].n_splits = 0;
+        }
+        site.routes = routes.data();
+        site.n_routes = (int)routes.size();
         return world_from_site(&site, zones, 4, pointers.data(),
                                (int)pointers.size());
     }
@@ -1386,6 +1401,51 @@
     world_unref(newer);
 }
 
+/* Guards against items that are given up, or are sent to no server, because a
+ * route with a longer prefix has taken over the path of their submission. */
+TEST(Jobs, ItemsStayWithTheRouteThatAcceptedThem)
+{
+    struct {
+        const char *id; /* of a job */
+        const char *path;
+        Site::further_route added;
+    } cases[] = {
+        {"j", "/b/deep/x", {"/b/deep/", WORLD_INGRESS_STREAM}},
+        {"k", "/b/empty/x", {"/b/empty/", WORLD_INGRESS_BATCH}},
+        {"l", "/b/x", {"/c/", WORLD_INGRESS_STREAM}},
+    };
+    Site site;
+    std::vector<Site::further_route> added;
+    for (const auto &row : cases) {
+        added.push_back(row.added);
+    }
+    struct world *before = site.make_world({}, "/b/", 2);
+    struct world *after =
+        site.make_world({}, "/b/", 3, WORLD_INGRESS_BATCH, added);
+    struct world *with_server =
+        site.make_world({"e1"}, "/b/", 4, WORLD_INGRESS_BATCH, added);
+    Node node(site, "n1");
+
+    node.update(before);
+    for (const auto &row : cases) {
+        ASSERT_EQ(node.submit(row.id, "a b", "h", row.path), JOBS_OK);
+    }
+    node.update(after);
+    /* Longer than a route may be missing before its items are given up. */
+    g_usleep(6000000);
+    node.update(with_server);
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.path);
+        EXPECT_EQ(
+            as_set(node.wait_for(row.id, 2)),
+            (std::set<std::string>{std::string("a=") + COMPLETE_OUTPUT,
+                                   std::string("b=") + COMPLETE_OUTPUT}));
+    }
+    world_unref(before);
+    world_unref(after);
+    world_unref(with_server);
+}
+
 /* Guards against one limit for all operators, which lets one of them use up
  * the room of the others.  The route allows 250 waiting tokens, and each item
  * has 100. */
