Serve a node's own pages only on their own addresses

Cause: /metrics and the readiness check were served on every address of a site before the route was looked up.

Change: each address serves what the settings name it for: routes and calls about jobs, the readiness check, or /metrics. bench/site_path.py used the readiness check of the callers' address and has one for probes now.

--- a/bench/site_path.py
+++ b/bench/site_path.py
@@ -42,6 +42,7 @@
 
     def __init__(self, binary, name, zone, site, seeds, folder):
         self.callers = free_port()
+        self.probes = free_port()
         self.control = seeds[0] if name == "n1" else free_port()
         self.path = folder / f"{name}.json"
         self.log = open(folder / f"{name}.log", "ab")
@@ -53,6 +54,7 @@
             "platform": {"kv": [f"127.0.0.1:{site.store.port}"]},
             "drain_ms": 8000,
             "site": {"callers": f"127.0.0.1:{self.callers}",
+                     "probes": f"127.0.0.1:{self.probes}",
                      "jobs": f"127.0.0.1:{free_port()}", "watchers": 1,
                      "zones": {"a": "north", "b": "north"}}}))
         self.start()
@@ -62,10 +64,10 @@
             [self.binary, "--settings", str(self.path)], stdout=self.log,
             stderr=self.log)
 
-    def call(self, method, path, body=None, headers=None):
+    def call(self, method, path, body=None, headers=None, port=None):
         """Returns status, headers and body; status 0 without a response."""
-        connection = http.client.HTTPConnection("127.0.0.1", self.callers,
-                                                timeout=15)
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", port or self.callers, timeout=15)
         try:
             connection.request(method, path, body, {**HOST, **(headers or {})})
             response = connection.getresponse()
@@ -76,7 +78,8 @@
             connection.close()
 
     def is_ready(self):
-        return self.call("GET", "/cardamompick/readyz")[0] == 200
+        return self.call("GET", "/cardamompick/readyz",
+                         port=self.probes)[0] == 200
 
     def stream(self, request_id, path="/ask/x"):
         """Sends a streaming request; returns status, headers and body."""
--- a/packages/front/front.h
+++ b/packages/front/front.h
@@ -24,6 +24,19 @@
 struct front_protocol;
 struct jobs;
 
+/* What an address of a site serves.  The configuration's routes may use any
+ * path, so the node's own pages are not served where callers connect. */
+enum front_serves {
+    FRONT_SERVES_CALLERS = 1, /* the routes, and the calls about jobs */
+    FRONT_SERVES_PROBES = 2,  /* the readiness check */
+    FRONT_SERVES_METRICS = 4,
+};
+
+struct front_site_address {
+    const char *address; /* "IP:port" */
+    unsigned serves;     /* of enum front_serves */
+};
+
 struct front_desc {
     const char *node;
     const char *zone;
@@ -46,9 +59,7 @@
      * Cardamompick's own API; NULL: that API.  Each site address is
      * "IP:port"; address and port above are not used then. */
     const struct front_protocol *protocol;
-    /* Addresses for callers, health probes and metrics, in this order without
-     * those that are not set. */
-    const char *const *site_addresses;
+    const struct front_site_address *site_addresses;
     int n_site_addresses;
     struct jobs *jobs;
     bool cost_routing; /* estimates the work of requests for admission */
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -59,6 +59,7 @@
 
 struct front_raw_connections {
     struct lws_vhost *vhosts[FRONT_MAX_LISTENERS];
+    unsigned serves[FRONT_MAX_LISTENERS]; /* of enum front_serves, by vhost */
     int n_vhosts;
     GQueue open; /* of struct front_raw_connection, by link */
 };
@@ -190,7 +191,8 @@
     struct lws *wsi; /* NULL: the request is closed */
     struct front_connection *connection;
     const struct front_transport *transport;
-    GList link; /* in front->requests */
+    unsigned serves; /* of a site: what the address serves that it came to */
+    GList link;      /* in front->requests */
     const struct front_route *route;
     void *state;            /* state of the handler */
     const char *class_name; /* class name in metrics; NULL: none */
@@ -318,7 +320,8 @@
 /* ---- site protocol: routes by host and path (site_routes.c,
  * raw_connection.c) ---- */
 
-bool front_raw_listen(struct front *front, const char *address,
+bool front_raw_listen(struct front *front,
+                      const struct front_site_address *listen,
                       struct base_error *err);
 void front_raw_tick(struct front *front, int64_t now_ms);
 const struct front_route *front_protocol_route(struct front_request *request);
--- a/packages/front/listener.c
+++ b/packages/front/listener.c
@@ -183,7 +183,7 @@
         return add_vhost(front, err);
     }
     for (int i = 0; i < desc->n_site_addresses; i++) {
-        if (!front_raw_listen(front, desc->site_addresses[i], err)) {
+        if (!front_raw_listen(front, &desc->site_addresses[i], err)) {
             return false;
         }
     }
--- a/packages/front/raw_connection.c
+++ b/packages/front/raw_connection.c
@@ -29,6 +29,7 @@
     GList link;
     struct front *front;
     struct lws *wsi;
+    unsigned serves; /* of enum front_serves */
     struct http1 *http1;
     GString *pipelined; /* bytes received after the request being served */
     int64_t head_started_ms; /* first bytes of an incomplete head; 0: none */
@@ -88,6 +89,7 @@
     raw->head_started_ms = 0;
     request->connection = &raw->connection;
     request->transport = &RAW_TRANSPORT;
+    request->serves = raw->serves;
     request->request_headers = head->fields;
     g_strlcpy(request->method, head->method, sizeof(request->method));
     parse_target(request, head->target);
@@ -319,6 +321,20 @@
 
 /* ---- connections ---- */
 
+/* Returns what the address serves to which a connection was made. */
+static unsigned
+find_serves(const struct front_raw_connections *connections, struct lws *wsi)
+{
+    const struct lws_vhost *vhost = lws_get_vhost(wsi);
+
+    for (int i = 0; i < connections->n_vhosts; i++) {
+        if (connections->vhosts[i] == vhost) {
+            return connections->serves[i];
+        }
+    }
+    return 0;
+}
+
 static int
 on_open(struct lws *wsi)
 {
@@ -326,6 +342,7 @@
 
     raw->front = lws_context_user(lws_get_context(wsi));
     raw->wsi = wsi;
+    raw->serves = find_serves(&raw->front->raw_connections, wsi);
     raw->link.data = raw;
     raw->pipelined = g_string_new(NULL);
     raw->idle_since_ms = base_clock_ms();
@@ -381,15 +398,16 @@
     {NULL, NULL, 0, 0, 0, NULL, 0},
 };
 
-/* Listens for callers on "IP:port".  Fails with BASE_UNAVAILABLE. */
+/* Listens on an address of a site.  Fails with BASE_UNAVAILABLE. */
 bool
-front_raw_listen(struct front *front, const char *address,
+front_raw_listen(struct front *front, const struct front_site_address *listen,
                  struct base_error *err)
 {
+    struct front_raw_connections *connections = &front->raw_connections;
+    const char *address = listen->address;
     const char *colon = strrchr(address, ':');
     char *host = g_strndup(address, (gsize)(colon - address));
-    char *name =
-        g_strdup_printf("callers-%d", front->raw_connections.n_vhosts);
+    char *name = g_strdup_printf("callers-%d", connections->n_vhosts);
     struct lws_context_creation_info info = {
         .port = (int)g_ascii_strtoll(colon + 1, NULL, 10),
         .iface = host,
@@ -411,7 +429,8 @@
         base_error_set(err, BASE_UNAVAILABLE, "can't listen on %s", address);
         return false;
     }
-    front->raw_connections.vhosts[front->raw_connections.n_vhosts++] = vhost;
+    connections->serves[connections->n_vhosts] = listen->serves;
+    connections->vhosts[connections->n_vhosts++] = vhost;
     return true;
 }
 
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -4,8 +4,9 @@
 
 #include "base/http_text.h"
 
-/* Selects the handler of a request on a site: one of the protocol's calls, the
- * node's metrics page, or the route with the request's host and path. */
+/* Selects the handler of a request on a site by the address that it came to:
+ * one of the node's own pages; or one of the protocol's calls, or the route
+ * with the request's host and path. */
 
 /* Longest time of a call about a job: a forwarded submission, a list of heads
  * and a write, each with its timeout. */
@@ -150,27 +151,49 @@
                : &JOB_SUBMIT;
 }
 
+/* Returns the route of a page of the node's own, or NULL if the request's
+ * address serves none there. */
+static const struct front_route *
+find_own_page(const struct front_request *request,
+              enum front_protocol_call call)
+{
+    if ((request->serves & FRONT_SERVES_PROBES) != 0 &&
+        call == FRONT_CALL_READY) {
+        return &READY;
+    }
+    if ((request->serves & FRONT_SERVES_METRICS) != 0 &&
+        strcmp(request->method, "GET") == 0 &&
+        strcmp(request->path, "/metrics") == 0) {
+        return &METRICS;
+    }
+    return NULL;
+}
+
 /* Returns the route whose handler serves a request.  On a failure the request
  * has been answered and the route has no handler. */
 const struct front_route *
 front_protocol_route(struct front_request *request)
 {
     char id[FRONT_ID_SIZE];
+    enum front_protocol_call call = request->front->protocol->find_call(
+        request->method, request->path, id, sizeof(id));
+    const struct front_route *page = find_own_page(request, call);
 
-    switch (request->front->protocol->find_call(request->method, request->path,
-                                                id, sizeof(id))) {
-    case FRONT_CALL_READY:
-        return &READY;
+    if (page != NULL) {
+        return page;
+    }
+    if ((request->serves & FRONT_SERVES_CALLERS) == 0) {
+        front_fail(request, &FRONT_NOT_FOUND, "there is no such page");
+        return &ANSWERED;
+    }
+    switch (call) {
     case FRONT_CALL_JOB_RESULTS:
     case FRONT_CALL_JOB_INPUT:
     case FRONT_CALL_JOB_END:
         return find_job_call(request, id);
+    case FRONT_CALL_READY:
     case FRONT_CALL_NONE:
         break;
     }
-    if (strcmp(request->path, "/metrics") == 0 &&
-        strcmp(request->method, "GET") == 0) {
-        return &METRICS;
-    }
     return find_by_host_and_path(request);
 }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -75,10 +75,16 @@
 struct Ingress : public Front {
     enum world_ingress_kind kind = WORLD_INGRESS_STREAM;
     bool is_resumable = false;
+    const char *prefix = "/a/";
     int max_attempts = 2;
     int64_t timeout_ms = 5000;
     int64_t gap_target_ms = 0;
-    std::string address;
+    std::string address; /* for callers and probes */
+    std::string metrics_address;
+    std::string callers_address; /* for callers alone */
+    int metrics_port;
+    int callers_port;
+    struct front_site_address addresses[3];
     std::string engine_prefix = "e"; /* of the names of servers */
     /* Names of operators and their keys; with none, no key is needed. */
     std::vector<std::pair<const char *, const char *>> operators;
@@ -89,12 +95,18 @@
     {
         struct base_error err = {};
         port = free_port();
+        metrics_port = free_port();
+        callers_port = free_port();
         address = "127.0.0.1:" + std::to_string(port);
-        static const char *addresses[1];
-        addresses[0] = address.c_str();
+        metrics_address = "127.0.0.1:" + std::to_string(metrics_port);
+        callers_address = "127.0.0.1:" + std::to_string(callers_port);
+        addresses[0] = {address.c_str(),
+                        FRONT_SERVES_CALLERS | FRONT_SERVES_PROBES};
+        addresses[1] = {metrics_address.c_str(), FRONT_SERVES_METRICS};
+        addresses[2] = {callers_address.c_str(), FRONT_SERVES_CALLERS};
         desc.protocol = &PROTOCOL;
         desc.site_addresses = addresses;
-        desc.n_site_addresses = 1;
+        desc.n_site_addresses = 3;
         front = front_start(&desc, &err);
         ASSERT_NE(front, nullptr) << err.text;
         if (!engines.empty()) {
@@ -134,7 +146,7 @@
 
         routes[0].name = (char *)"r";
         routes[0].host = (char *)"h.example";
-        routes[0].prefix = (char *)"/a/";
+        routes[0].prefix = (char *)prefix;
         routes[0].kind = kind;
         routes[0].splits = &split;
         routes[0].n_splits = 1;
@@ -430,6 +442,47 @@
     }
 }
 
+/* Guards against the node's own pages in place of a service's answer, which
+ * also show callers the routes and loads of the installation; and against
+ * routes that are served where no caller connects. */
+TEST_F(Ingress, EachAddressServesOnlyWhatItIsFor)
+{
+    struct test_server engine(serve_stream);
+    prefix = "/";
+    begin({&engine});
+    struct {
+        const char *name;
+        int port;
+        const char *path;
+        int status;
+        bool is_forwarded; /* the answer is the server's */
+    } cases[] = {
+        {"metrics, callers", callers_port, "/metrics", 200, true},
+        {"metrics with a query, callers", callers_port, "/metrics?a=b", 200,
+         true},
+        {"readiness, callers", callers_port, "/ready", 200, true},
+        {"readiness, callers and probes", port, "/ready", 200, false},
+        {"metrics, callers and probes", port, "/metrics", 200, true},
+        {"metrics", metrics_port, "/metrics", 200, false},
+        {"metrics with a query", metrics_port, "/metrics?a=b", 200, false},
+        {"readiness, metrics", metrics_port, "/ready", 404, false},
+        {"a route, metrics", metrics_port, "/x", 404, false},
+    };
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        size_t n_before = engine.requests().size();
+        struct answer answer = test_exchange(
+            row.port, std::string("GET ") + row.path +
+                          " HTTP/1.1\r\nhost: h.example\r\nx-id: q\r\n\r\n");
+        EXPECT_EQ(answer.status, row.status);
+        EXPECT_EQ(engine.requests().size() - n_before,
+                  row.is_forwarded ? 1u : 0u);
+        EXPECT_EQ(answer.body.find("requests_total") != std::string::npos,
+                  !row.is_forwarded && row.status == 200 &&
+                      row.port == metrics_port);
+    }
+}
+
 /* The head and the keys of a job are stored as JSON, which can't hold every
  * byte that a head may have; a '/' in the id would put the job's records among
  * those of another job. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -250,13 +250,41 @@
     return node->jobs != NULL;
 }
 
+/* Leaves out addresses that are not set, and joins those that are the same.
+ * Returns how many are left, at the start of the list. */
+static int
+merge_addresses(struct front_site_address *addresses, int n_addresses)
+{
+    int n_left = 0;
+
+    for (int i = 0; i < n_addresses; i++) {
+        int at = 0;
+        if (addresses[i].address == NULL) {
+            continue;
+        }
+        while (at < n_left &&
+               strcmp(addresses[at].address, addresses[i].address) != 0) {
+            at++;
+        }
+        if (at < n_left) {
+            addresses[at].serves |= addresses[i].serves;
+        }
+        else {
+            addresses[n_left++] = addresses[i];
+        }
+    }
+    return n_left;
+}
+
 static bool
 start_site_front(struct node *node, struct base_error *err)
 {
     const struct node_settings *settings = node->settings;
-    const char *const listed[] = {
-        settings->site.callers, settings->site.probes, settings->site.metrics};
-    const char *addresses[G_N_ELEMENTS(listed)];
+    struct front_site_address addresses[] = {
+        {settings->site.callers, FRONT_SERVES_CALLERS},
+        {settings->site.probes, FRONT_SERVES_PROBES},
+        {settings->site.metrics, FRONT_SERVES_METRICS},
+    };
     struct front_desc desc = {
         .node = settings->name,
         .zone = settings->zone,
@@ -273,11 +301,8 @@
         .count_earlier_waits = settings->site.count_earlier_waits,
     };
 
-    for (size_t i = 0; i < G_N_ELEMENTS(listed); i++) {
-        if (listed[i] != NULL) {
-            addresses[desc.n_site_addresses++] = listed[i];
-        }
-    }
+    desc.n_site_addresses =
+        merge_addresses(addresses, G_N_ELEMENTS(addresses));
     node->front = front_start(&desc, err);
     return node->front != NULL;
 }
