Take no answer whose status is not three digits from 100 to 599

Cause: the client library reads any number; only those below 200 were refused.

Change: the status line is checked in packages/backends, for requests, streams, items and deployment calls alike.

--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -9,6 +9,7 @@
     HEADER_VALUE_SIZE = 256,
     BODY_WRITE_SIZE = 65536,
     FIRST_FINAL_STATUS = 200,
+    STATUS_DIGITS = 3,
 };
 
 static bool
@@ -187,6 +188,31 @@
            strcmp(value, "no") == 0;
 }
 
+/* Reads the status: three digits, the first from 1 to 5, and then a space or
+ * the end of the line (RFC 9112, 4).  libwebsockets takes any number.  Returns
+ * false if there is none. */
+static bool
+read_status(struct backends_call *call, struct lws *wsi)
+{
+    enum lws_token_indexes token =
+        lws_hdr_total_length(wsi, WSI_TOKEN_HTTP) > 0 ? WSI_TOKEN_HTTP
+                                                      : WSI_TOKEN_HTTP1_0;
+    int size = lws_hdr_total_length(wsi, token) + 1;
+    char *text = g_malloc0((gsize)size);
+    int n_digits = 0;
+
+    lws_hdr_copy(wsi, text, size, token);
+    while (g_ascii_isdigit(text[n_digits])) {
+        n_digits++;
+    }
+    bool is_valid = n_digits == STATUS_DIGITS && text[0] >= '1' &&
+                    text[0] <= '5' &&
+                    (text[n_digits] == '\0' || text[n_digits] == ' ');
+    call->status = is_valid ? (int)g_ascii_strtoll(text, NULL, 10) : 0;
+    g_free(text);
+    return is_valid;
+}
+
 static int
 on_head(struct backends_call *call, struct lws *wsi)
 {
@@ -194,9 +220,14 @@
     struct backends *backends = call->owner;
     char content_type[HEADER_VALUE_SIZE] = "";
 
-    call->status = (int)lws_http_client_http_response(wsi);
-    find_framing(call, wsi);
     backends_call_enter(call, BACKENDS_READING);
+    if (!read_status(call, wsi)) {
+        backends_call_fail(call, BASE_CORRUPT,
+                           "the response's status is not valid");
+        backends_call_end(call);
+        return -1;
+    }
+    find_framing(call, wsi);
     if (call->status < FIRST_FINAL_STATUS) {
         /* libwebsockets takes what follows it for its body. */
         call->status = 0;
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -217,6 +217,59 @@
     }
 }
 
+/* Guards against answers of servers in trouble that reach callers as if they
+ * were answers: a status has three digits, from 100 to 599. */
+TEST_F(Backends, AStatusThatIsNoneIsNoResponse)
+{
+    const std::string long_reason = " 200 " + std::string(2000, 'x');
+    struct {
+        const char *line; /* after "HTTP/1.1" */
+        int status;       /* 0: none */
+    } cases[] = {
+        {long_reason.c_str(), 200},
+        {" 200 OK", 200},
+        {" 200", 200},
+        {" 200 ", 200},
+        {" 599 x", 599},
+        {" 000 x", 0},
+        {" 0 x", 0},
+        {" 20 x", 0},
+        {" 2x0 x", 0},
+        {" -20 x", 0},
+        {" ", 0},
+        {"", 0},
+        {" 600 x", 0},
+        {" 999 x", 0},
+        {" 1000 x", 0},
+        {" 2000 x", 0},
+        {" +200 x", 0},
+        {" 0200 x", 0},
+        {" 200x", 0},
+        {" 20", 0},
+        {" 0x200 x", 0},
+        {" 200.0 x", 0},
+        {" 2 00 x", 0},
+        {" 60 0", 0},
+        {" 99999999999", 0},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.line);
+        struct test_server server([&](int fd, const std::string &) {
+            test_write(fd, std::string("HTTP/1.1") + row.line +
+                               "\r\nx-ran: no\r\ncontent-length: 2\r\n\r\nok");
+        });
+        struct record record = {};
+        run(request_to(server.port), &record);
+        EXPECT_EQ(record.result.status, row.status);
+        EXPECT_EQ(record.n_head, row.status == 0 ? 0 : 1);
+        EXPECT_EQ(record.result.is_complete, row.status != 0);
+        if (row.status == 0) {
+            EXPECT_EQ(record.result.verdict, BASE_MAY_HAVE_RUN);
+        }
+    }
+}
+
 /* Where a response may end with its connection, a close ends it and a reset
  * breaks it off. */
 TEST_F(Backends, ResponseWithoutLengthEndsByCloseButNotByReset)
