Take no part of an answer for the whole while the upload is under way

Cause: an orderly close was taken for the end. The system of a server that ends while the rest of an upload is under way sends no reset if nothing unread lies there at that moment.

Change: a response below 400 that ends with its connection is whole only if the server's system has acknowledged all of the request.

--- a/packages/backends/backends.h
+++ b/packages/backends/backends.h
@@ -82,7 +82,8 @@
     const char *refusal_header; /* its presence means "not run" */
     int refusal_status;         /* this status means "not run" */
     /* A response without length and chunks ends when the server closes the
-     * connection; a reset breaks it off. */
+     * connection; a reset breaks it off, and so does a close before the server
+     * has taken the whole request, unless the status is an error. */
     bool may_end_by_close;
 };
 
--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -1,6 +1,8 @@
 #include <errno.h>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "backends/backends_private.h"
@@ -9,6 +11,7 @@
     HEADER_VALUE_SIZE = 256,
     BODY_WRITE_SIZE = 65536,
     FIRST_FINAL_STATUS = 200,
+    FIRST_ERROR_STATUS = 400,
     STATUS_DIGITS = 3,
 };
 
@@ -153,6 +156,23 @@
     }
 }
 
+/* Returns whether the server has received all of the request.  One that ends a
+ * response before that has broken off, unless it refuses the request: it may
+ * have crashed, and its system reports a reset only if unread bytes lie there
+ * at that moment. */
+static bool
+has_taken_request(const struct backends_call *call)
+{
+    int n_unsent = 0;
+
+    if (call->body_written < call->body_size) {
+        return false;
+    }
+    return call->wsi == NULL ||
+           ioctl(lws_get_socket_fd(call->wsi), SIOCOUTQ, &n_unsent) != 0 ||
+           n_unsent == 0;
+}
+
 static bool
 is_body_complete(const struct backends_call *call)
 {
@@ -164,7 +184,9 @@
          * An end without received bytes is a close. */
         return call->is_reading && !call->is_at_close;
     case BACKENDS_BY_CLOSE:
-        return call->may_end_by_close && call->is_at_close && !call->is_reset;
+        return call->may_end_by_close && call->is_at_close &&
+               !call->is_reset &&
+               (call->status >= FIRST_ERROR_STATUS || has_taken_request(call));
     }
     return false;
 }
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -300,6 +300,68 @@
     }
 }
 
+/* Guards against a part of a response that is taken for the whole: a server
+ * that ends before it has read the request was broken off, and may close its
+ * connection without a reset if nothing unread lies there at that moment. */
+TEST_F(Backends, ASuccessThatEndsDuringTheUploadIsNotComplete)
+{
+    enum how { CLOSES, SHUTS_DOWN, READS_A_PART_FIRST, RESETS_LATER };
+    struct {
+        const char *name;
+        int status;
+        size_t upload_bytes;
+        enum how how;
+        bool is_complete;
+    } cases[] = {
+        {"a refusal", 413, 60000, SHUTS_DOWN, true},
+        {"nothing to upload", 200, 2, SHUTS_DOWN, true},
+        {"close", 200, 60000, CLOSES, false},
+        {"close after a part of the upload", 200, 60000, READS_A_PART_FIRST,
+         false},
+        {"reset after some time", 200, 60000, RESETS_LATER, false},
+        {"no more bytes", 200, 60000, SHUTS_DOWN, false},
+        {"no more bytes, 400 KB", 200, 400000, SHUTS_DOWN, false},
+        {"no more bytes, 3 MB", 200, 3000000, SHUTS_DOWN, false},
+        {"close, 3 MB", 200, 3000000, CLOSES, false},
+        {"reset after some time, 3 MB", 200, 3000000, RESETS_LATER, false},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        const std::string body(row.upload_bytes, 'x');
+        struct test_server server(
+            [&](int fd, const std::string &) {
+                char part[1000];
+                if (row.how == READS_A_PART_FIRST) {
+                    recv(fd, part, sizeof(part), 0);
+                }
+                test_write(fd, "HTTP/1.1 " + std::to_string(row.status) +
+                                   " x\r\n\r\nab");
+                if (row.how == RESETS_LATER) {
+                    struct linger linger = {1, 0};
+                    g_usleep(50000);
+                    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+                               sizeof(linger));
+                }
+                if (row.how == SHUTS_DOWN) {
+                    shutdown(fd, SHUT_WR);
+                    /* Until the caller has seen the end of the response. */
+                    g_usleep(200000);
+                }
+            },
+            false);
+        struct record record = {};
+        struct backends_request request = request_to(server.port);
+        request.may_end_by_close = true;
+        request.body = body.data();
+        request.body_size = body.size();
+        run(request, &record);
+        EXPECT_EQ(record.result.is_complete, row.is_complete);
+        EXPECT_EQ(record.result.verdict,
+                  row.is_complete ? BASE_RAN : BASE_MAY_HAVE_RUN);
+    }
+}
+
 /* The body is larger than a socket's buffer, so it is written in several
  * parts. */
 TEST_F(Backends, RequestArrivesComplete)
--- a/packages/backends/test_server.h
+++ b/packages/backends/test_server.h
@@ -64,6 +64,19 @@
     return text;
 }
 
+/* Reads the head of a request and nothing after it. */
+static inline std::string
+test_read_head(int fd)
+{
+    std::string text;
+    char byte;
+    while (text.find("\r\n\r\n") == std::string::npos &&
+           recv(fd, &byte, 1, 0) > 0) {
+        text += byte;
+    }
+    return text;
+}
+
 /* Discards received bytes until the other side closes the connection. */
 static inline void
 test_wait_for_close(int fd)
@@ -114,7 +127,10 @@
 struct test_server {
     using script = std::function<void(int, const std::string &)>;
 
-    explicit test_server(script run) : run_(std::move(run))
+    /* reads_body: the script runs when the whole request has arrived;
+     * otherwise once its head has. */
+    explicit test_server(script run, bool reads_body = true)
+        : run_(std::move(run)), reads_body_(reads_body)
     {
         listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         struct sockaddr_in address = {};
@@ -124,6 +140,12 @@
         bind(listener_, (struct sockaddr *)&address, size);
         getsockname(listener_, (struct sockaddr *)&address, &size);
         port = ntohs(address.sin_port);
+        if (!reads_body_) {
+            /* Most of a long body then stays with its sender. */
+            int buffer = 4096;
+            setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &buffer,
+                       sizeof(buffer));
+        }
         listen(listener_, 128);
         accept_thread_ = std::thread([this] { accept_all(); });
     }
@@ -173,7 +195,8 @@
     void
     serve(int fd)
     {
-        std::string request = test_read_request(fd);
+        std::string request =
+            reads_body_ ? test_read_request(fd) : test_read_head(fd);
         {
             std::lock_guard<std::mutex> guard(lock_);
             requests_.push_back(request);
@@ -191,6 +214,7 @@
     }
 
     script run_;
+    bool reads_body_;
     int listener_ = -1;
     std::atomic<bool> is_stopping_{false};
     std::thread accept_thread_;
