Bound what a node keeps of the store's answers

An operator's report: bytes without end use up a node's memory.

Cause: one limit for all that a store may hold.

Change: 32 MiB, or twice the largest value; 128 MiB for the pages of a list. A call whose transfers break off three times ends in the time of a small one.

Test: Platform.AResponseWithoutEndIsBroken failed before.

--- a/packages/platform/http.c
+++ b/packages/platform/http.c
@@ -8,7 +8,6 @@
     CONNECTIONS = 64,
     WRITE_BYTES = 16384,
     READ_BYTES = 16384,
-    MAX_RESPONSE_BYTES = 256 << 20,
     /* A larger one would hide how much of a body the other side has taken. */
     SEND_BUFFER_BYTES = 131072,
     /* Long enough that libwebsockets does not end a long poll; each call has
@@ -202,7 +201,10 @@
         call->ops->data(call->context, data, size);
         return 0;
     }
-    if (call->response_body->len + size > MAX_RESPONSE_BYTES) {
+    if (call->response_body->len + size > call->http->max_response_bytes) {
+        base_log(BASE_LOG_WARNING, "kv.response_too_large",
+                 "status=%d limit=%zu", call->result.status,
+                 call->http->max_response_bytes);
         return -1;
     }
     g_string_append_len(call->response_body, data, (gssize)size);
--- a/packages/platform/http.h
+++ b/packages/platform/http.h
@@ -22,7 +22,8 @@
 struct platform_http {
     struct lws_context *lws;
     struct lws_vhost *vhost;
-    const char *source; /* local IP address; NULL: any */
+    const char *source;        /* local IP address; NULL: any */
+    size_t max_response_bytes; /* a call with a larger response fails */
     /* Runs on the task's thread after another thread woke its loop. */
     void (*woken)(void *context);
     void *context;
--- a/packages/platform/kv.c
+++ b/packages/platform/kv.c
@@ -8,7 +8,15 @@
 
 /* The first attempt may take a third of the operation's time, so that there
  * is time for another connection if the first one gets no response. */
-enum { FIRST_ATTEMPT_DIVISOR = 3, MIN_ATTEMPT_MS = 50 };
+enum {
+    FIRST_ATTEMPT_DIVISOR = 3,
+    MIN_ATTEMPT_MS = 50,
+    /* Large transfers of an operation that break off before it ends in the
+     * time of a small one. */
+    MAX_BROKEN_TRANSFERS = 3,
+    /* All pages of a list together. */
+    MAX_LIST_BYTES = 128 << 20,
+};
 
 /* An operation under way.  It takes one or more attempts, each an HTTP call,
  * until there is a result or the deadline has passed.  Each page of a list and
@@ -26,7 +34,10 @@
     int64_t deadline_ms;
     int64_t attempt_sent_ms;
     int failures;
-    bool may_have_run; /* some attempt may have taken effect */
+    bool is_transferring; /* the open attempt has made progress */
+    int n_broken;         /* such attempts that failed since the last page */
+    size_t list_bytes;    /* of the pages so far */
+    bool may_have_run;    /* some attempt may have taken effect */
 };
 
 static void
@@ -101,6 +112,10 @@
 {
     struct platform_operation *operation = context;
 
+    if (operation->n_broken >= MAX_BROKEN_TRANSFERS) {
+        return;
+    }
+    operation->is_transferring = true;
     set_deadline(operation);
     platform_http_set_timeout(operation->http, operation->timeout_ms);
     if (is_response) {
@@ -123,6 +138,7 @@
     struct platform *platform = operation->platform;
 
     operation->may_have_run = operation->may_have_run || is_sent;
+    operation->n_broken += operation->is_transferring ? 1 : 0;
     platform_count(platform, "kv_errors_total", 1);
     platform_call_failed(platform);
     platform_endpoint_failed(platform, operation->endpoint);
@@ -157,6 +173,20 @@
     return decoded;
 }
 
+/* Ends a list that is larger than any that this program writes. */
+static void
+reject_list(struct platform_operation *operation)
+{
+    struct platform_kv *kv = operation->kv;
+
+    kv->status = PLATFORM_REJECTED;
+    kv->verdict = BASE_NOT_RUN;
+    base_error_set(&kv->err, BASE_INVALID, "the list has over %d bytes",
+                   MAX_LIST_BYTES);
+    log_rejected(operation->platform, kv);
+    reply(operation);
+}
+
 static void
 on_attempt_done(void *context, const struct platform_http_result *result)
 {
@@ -179,6 +209,12 @@
         reply(operation);
         return;
     case PLATFORM_DECODE_MORE:
+        operation->list_bytes += result->size;
+        if (operation->list_bytes > MAX_LIST_BYTES) {
+            reject_list(operation);
+            return;
+        }
+        operation->n_broken = 0;
         set_deadline(operation);
         platform_queue_call(operation->platform, &operation->queued_call);
         return;
@@ -228,6 +264,7 @@
     int64_t now_ms = base_clock_ms();
 
     record_sent(operation, now_ms);
+    operation->is_transferring = false;
     platform->dialect->encode(operation->kv, &encoded);
     platform_count_call(platform, (int)operation->kv->op);
     operation->endpoint = platform_endpoint(platform);
--- a/packages/platform/task.c
+++ b/packages/platform/task.c
@@ -11,6 +11,10 @@
      * a site's store. */
     DEFAULT_VALUE_BYTES = 1 << 20,
     DEFAULT_TXN_ENTRIES = 32,
+    /* Responses and lines of watches: more than the largest value in base64,
+     * and than the pages of a list that this program writes. */
+    MIN_RESPONSE_LIMIT = 32 << 20,
+    VALUES_IN_RESPONSE = 2,
     DEFAULT_MIN_POLL_MS = 500,
     LOG_CALLS_MS = 10000, /* between log lines about calls */
     FIRST_BACKOFF_MS = 50,
@@ -315,6 +319,8 @@
     platform->limits.txn_entries = desc->limits.txn_entries > 0
                                        ? desc->limits.txn_entries
                                        : DEFAULT_TXN_ENTRIES;
+    platform->http.max_response_bytes = (size_t)MAX(
+        MIN_RESPONSE_LIMIT, VALUES_IN_RESPONSE * platform->limits.value_bytes);
     platform->dialect = desc->dialect != NULL ? desc->dialect : &platform_etcd;
     platform->counters = desc->counters;
     platform_budget_init(&platform->budget,
--- a/packages/platform/test_fake_kv.h
+++ b/packages/platform/test_fake_kv.h
@@ -78,6 +78,8 @@
     size_t response_bytes_per_s = 0;
     size_t request_bytes_per_s = 0;
     bool repeats_pages = false; /* sends the first page of a list each time */
+    bool is_endless = false;    /* sends bytes until the client closes */
+    std::atomic<size_t> longest_response{0}; /* bytes sent of an endless one */
 
     FakeKv()
     {
@@ -265,6 +267,11 @@
         if (planned == CLOSES_WITHOUT_EFFECT) {
             return;
         }
+        if (is_endless) {
+            guard.unlock();
+            send_without_end(fd);
+            return;
+        }
         if (planned == FAILS_503) {
             send_response(fd, 503, "{\"error\":\"no leader\",\"code\":14}");
             return;
@@ -287,6 +294,19 @@
         }
     }
 
+    void
+    send_without_end(int fd)
+    {
+        const std::string part(65536, ' ');
+        size_t n_sent = 0;
+        send_text(fd, "HTTP/1.1 200 x\r\ncontent-length: 99999999999\r\n\r\n");
+        while (!is_ending &&
+               send(fd, part.data(), part.size(), MSG_NOSIGNAL) > 0) {
+            n_sent += part.size();
+            longest_response = std::max(n_sent, (size_t)longest_response);
+        }
+    }
+
     void
     serve_watch(int fd)
     {
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -234,6 +234,20 @@
     }
 }
 
+/* Guards against a response without end that a node keeps until its memory is
+ * used up, and against a call that goes on for as long as bytes come. */
+TEST(Platform, AResponseWithoutEndIsBroken)
+{
+    FakeKv fake;
+    fake.is_endless = true;
+    fake.start();
+    Client client({fake.address()});
+    struct platform_kv *kv = client.call(platform_kv_new(PLATFORM_GET, "/a"));
+    EXPECT_EQ(kv->status, PLATFORM_UNAVAILABLE);
+    /* The limit, and what fits into the buffers of the connection. */
+    EXPECT_LE(fake.longest_response, (size_t)48 << 20);
+}
+
 const transfer_case TRANSFERS[] = {
     {"pages that take longer together", 1100, 10, 200, 0, 0, false,
      PLATFORM_OK},
--- a/packages/platform/watch.c
+++ b/packages/platform/watch.c
@@ -3,8 +3,6 @@
 #include "platform/codec.h"
 #include "platform/internal.h"
 
-enum { MAX_LINE_BYTES = 64 << 20 };
-
 /* A watch by streams.  When a stream ends, another one replaces it. */
 struct platform_watcher {
     struct platform *platform;
@@ -172,11 +170,14 @@
 static bool
 process_lines(struct platform_watcher *watcher)
 {
+    const char *limit =
+        watcher->partial_line->str + watcher->partial_line->len;
     char *start = watcher->partial_line->str;
     char *end;
     bool is_good = true;
 
-    while (is_good && (end = strchr(start, '\n')) != NULL) {
+    while (is_good &&
+           (end = memchr(start, '\n', (size_t)(limit - start))) != NULL) {
         if (end > start) {
             is_good = process_line(watcher, start, (size_t)(end - start));
         }
@@ -184,7 +185,8 @@
     }
     g_string_erase(watcher->partial_line, 0,
                    start - watcher->partial_line->str);
-    return is_good && watcher->partial_line->len <= MAX_LINE_BYTES;
+    return is_good && watcher->partial_line->len <=
+                          watcher->platform->http.max_response_bytes;
 }
 
 static void
@@ -192,7 +194,13 @@
 {
     struct platform_watcher *watcher = context;
 
+    bool ends_line = memchr(data, '\n', size) != NULL;
+
     g_string_append_len(watcher->partial_line, data, (gssize)size);
+    if (!ends_line && watcher->partial_line->len <=
+                          watcher->platform->http.max_response_bytes) {
+        return;
+    }
     if (!process_lines(watcher)) {
         platform_http_cancel(watcher->http);
         watcher->http = NULL;
