Close connections whose bytes are only discarded

Two servers had a runner read 240 GB in 45 s.

Cause: bodies of an item's response that are no event stream, and framing of chunks, were discarded without a limit.

Change: 256 KiB of such a body, and 256 reads in a row without a byte of a body.

--- a/packages/backends/backends_private.h
+++ b/packages/backends/backends_private.h
@@ -49,9 +49,10 @@
     enum backends_framing framing;
     int64_t body_expected; /* bytes; only with BACKENDS_BY_LENGTH */
     int64_t body_received;
-    bool is_reading;  /* lws_http_client_read is on the stack */
-    bool is_at_close; /* the current read found only the peer's close */
-    bool is_reset;    /* that close was a reset */
+    int n_empty_reads; /* since the last byte of the body */
+    bool is_reading;   /* lws_http_client_read is on the stack */
+    bool is_at_close;  /* the current read found only the peer's close */
+    bool is_reset;     /* that close was a reset */
     bool is_refused_not_run;
     bool is_complete;
     bool is_failed; /* err has the reason */
--- a/packages/backends/http.c
+++ b/packages/backends/http.c
@@ -13,6 +13,9 @@
     FIRST_FINAL_STATUS = 200,
     FIRST_ERROR_STATUS = 400,
     STATUS_DIGITS = 3,
+    /* Reads in a row that bring no byte of a body.  Framing takes a few, if it
+     * arrives byte by byte. */
+    MAX_EMPTY_READS = 256,
 };
 
 static bool
@@ -312,6 +315,12 @@
     int size = BACKENDS_READ_SIZE;
     int failed;
 
+    if (++call->n_empty_reads > MAX_EMPTY_READS) {
+        backends_call_fail(call, BASE_CORRUPT,
+                           "the response's framing has no end");
+        backends_call_end(call);
+        return -1;
+    }
     call->is_reading = true;
     find_close(call, wsi);
     failed = lws_http_client_read(wsi, &buffer, &size);
@@ -331,6 +340,7 @@
 
     call->limit_since_ms = base_clock_ms();
     call->body_received += (int64_t)size;
+    call->n_empty_reads = 0;
     call->is_at_close = false; /* libwebsockets had buffered bytes */
     if (size > 0 && call->ops->body != NULL) {
         call->ops->body(call->context, data, size);
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -438,9 +438,6 @@
     }
 }
 
-/* A cancel from within head (0) or body (1), on a paused call (2) or
- * before the connection is established (3) must call `done` exactly once and
- * close the connection; a second cancel must do nothing. */
 /* A server in trouble sends until the client closes; no limit of silence ends
  * that. */
 TEST_F(Backends, HeadWithoutEndEndsTheCall)
@@ -485,6 +482,48 @@
     }
 }
 
+/* Guards against framing without end, which is read and discarded for as long
+ * as it comes, since no limit of silence ends it. */
+TEST_F(Backends, FramingWithoutEndEndsTheCall)
+{
+    enum { PIECE = 4096, MAX_SENT = 32 << 20, GIVES_UP = 256 << 20 };
+    struct {
+        const char *what;
+        const char *first;
+        std::string piece;
+    } cases[] = {
+        {"zeros of a chunk's size", "", std::string(PIECE, '0')},
+        {"a chunk extension", "5;", std::string(PIECE, 'x')},
+        {"trailers", "0\r\n", "x-a: b\r\nx-c: d\r\n"},
+        {"a trailer", "0\r\nx-a: ", std::string(PIECE, 'x')},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.what);
+        std::atomic<size_t> n_sent{0};
+        struct test_server server([&](int fd, const std::string &) {
+            bool is_open =
+                test_write(fd, std::string("HTTP/1.1 200 OK\r\n"
+                                           "transfer-encoding: chunked\r\n\r\n"
+                                           "2\r\nab\r\n") +
+                                   c.first);
+            while (is_open && n_sent < GIVES_UP) {
+                is_open = test_write(fd, c.piece);
+                n_sent += c.piece.size();
+            }
+            test_wait_for_close(fd);
+        });
+        struct record record = {};
+        run(request_to(server.port), &record);
+        EXPECT_FALSE(record.result.is_complete);
+        EXPECT_EQ(record.result.verdict, BASE_MAY_HAVE_RUN);
+        EXPECT_LE(n_sent, (size_t)MAX_SENT);
+    }
+}
+
+/* A cancel from within head (0) or body (1), on a paused call (2) or
+ * before the connection is established (3) must call `done` exactly once and
+ * close the connection; a second cancel must do nothing. */
 TEST_F(Backends, CancelClosesTheConnection)
 {
     for (int cancel_at = 0; cancel_at < 4; cancel_at++) {
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -14,6 +14,9 @@
     /* A server that has sent this many events has not crashed when it began to
      * answer. */
     ANSWERED_EVENTS = 2,
+    /* Of a body that is not the output of an item.  Servers explain a refusal
+     * in less. */
+    MAX_DISCARDED_BYTES = 262144,
     STATUS_OK = 200,
     STATUS_UNPROCESSABLE = 422, /* the item can never succeed */
     STATUS_FAILED = 500,
@@ -110,6 +113,8 @@
     const struct jobs_item *item = work->run->job->items->pdata[work->index];
     const char *reason = work->events.is_corrupt
                              ? "events are out of order, or there is too much"
+                         : work->n_discarded > MAX_DISCARDED_BYTES
+                             ? "a long body that is no event stream"
                              : result->err.text;
 
     base_log(
@@ -173,6 +178,12 @@
     else if (result->status == STATUS_FAILED && result->is_complete) {
         count_failure(work);
     }
+    else if (work->n_discarded > MAX_DISCARDED_BYTES) {
+        /* The server may do the same again, at once. */
+        work->n_refusals++;
+        delay_retry(work, REFUSED_RETRY_MS *
+                              MIN(work->n_refusals, MAX_BACK_OFF_FACTOR));
+    }
     else {
         delay_retry(work, REFUSED_RETRY_MS);
     }
@@ -239,6 +250,10 @@
     struct jobs_work *work = context;
 
     if (!work->is_stream) {
+        work->n_discarded += (int64_t)size;
+        if (work->n_discarded > MAX_DISCARDED_BYTES) {
+            backends_cancel(&work->run->jobs->backends, work->call);
+        }
         return;
     }
     jobs_events_feed(&work->events, data, size);
@@ -358,6 +373,7 @@
     work->sent_at_us = base_clock_us();
     work->status = 0;
     work->is_stream = false;
+    work->n_discarded = 0;
     work->is_preempted = false;
     work->is_answered = false;
     if (resumes) {
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -85,9 +85,10 @@
     struct base_handle call;
     int status;
     bool is_stream;
-    bool is_answered;   /* events enough to clear the parts of the prompt */
-    bool is_preempted;  /* cancelled: preempted, or the run stops */
-    int64_t sent_at_us; /* time when it was sent, on base_clock_us */
+    int64_t n_discarded; /* bytes of a body that is no event stream */
+    bool is_answered;    /* events enough to clear the parts of the prompt */
+    bool is_preempted;   /* cancelled: preempted, or the run stops */
+    int64_t sent_at_us;  /* time when it was sent, on base_clock_us */
     int64_t first_event_us;   /* arrival of the first new event; 0: none yet */
     int64_t n_earlier_events; /* events received before this attempt */
 };
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1239,6 +1239,41 @@
     }
 }
 
+/* Guards against bodies without end that are read to the limit of an attempt:
+ * they use up the processor of the node and the links of the site. */
+TEST(Jobs, AnEndlessBodyThatIsNoStreamIsClosedAndTheItemRunsAgain)
+{
+    enum { MAX_SENT = 16 << 20, GIVES_UP = 64 << 20 };
+
+    for (const char *status : {"200 OK", "422 No", "500 Failed", "503 Busy"}) {
+        SCOPED_TRACE(status);
+        std::atomic<int> n_runs{0};
+        std::atomic<size_t> n_sent{0};
+        Site site([&](int fd, const std::string &request) {
+            const std::string piece(65536, 'x');
+            if (n_runs++ > 0) {
+                serve(fd, request);
+                return;
+            }
+            test_write(fd, std::string("HTTP/1.1 ") + status +
+                               "\r\nx-id: " + test_header(request, "x-id") +
+                               "\r\ncontent-type: text/plain\r\n\r\n");
+            while (n_sent < GIVES_UP && test_write(fd, piece)) {
+                n_sent += piece.size();
+            }
+            test_wait_for_close(fd);
+        });
+        Node node(site, "n1");
+
+        ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+        EXPECT_EQ(
+            node.wait_for("j", 1),
+            std::vector<std::string>{std::string("a=") + COMPLETE_OUTPUT});
+        EXPECT_LE(n_sent, (size_t)MAX_SENT);
+        EXPECT_EQ(n_runs, 2);
+    }
+}
+
 TEST(Jobs, APreemptedItemReleasesItsSlotAndRunsAgain)
 {
     std::atomic<int> n_runs{0};
