Write no body after an answer that has none

Cause: responses wrote a body or the last chunk whatever the method and the status.

Change: response.c alone decides the framing: HEAD, 204 and 304 have no body and no chunks, and a length only if it is known.

--- a/packages/front/response.c
+++ b/packages/front/response.c
@@ -17,6 +17,15 @@
     g_ptr_array_add(request->response_headers, g_strdup(value));
 }
 
+/* Returns whether the response has no body, whatever its head says (RFC 9112,
+ * 6.3).  Bytes after its head would be taken for the next response. */
+static bool
+must_omit_body(const struct front_request *request, int status)
+{
+    return strcmp(request->method, "HEAD") == 0 || status == 204 ||
+           status == 304;
+}
+
 static void
 begin_response(struct front_request *request, int status,
                const char *content_type)
@@ -24,6 +33,7 @@
     char traceparent[BASE_TRACEPARENT_SIZE];
 
     request->status = status;
+    request->has_no_body = must_omit_body(request, status);
     request->last_progress_ms = base_clock_ms();
     if (content_type[0] != '\0') {
         front_add_header(request, "content-type", content_type);
@@ -73,8 +83,9 @@
     }
 }
 
-/* Responds with a complete body.  Ignored when the request already has a
- * response. */
+/* Responds with a complete body.  A response without one gets a length only if
+ * it is known from `body`; that of a server's response to HEAD is not. Ignored
+ * when the request already has a response. */
 void
 front_respond(struct front_request *request, int status,
               const char *content_type, const char *body, size_t size)
@@ -84,10 +95,14 @@
     if (request->status != 0 || request->wsi == NULL) {
         return;
     }
-    g_snprintf(text, sizeof(text), "%zu", size);
-    front_add_header(request, "content-length", text);
     begin_response(request, status, content_type);
-    g_string_append_len(request->out, body, (gssize)size);
+    if (!request->has_no_body || (size > 0 && status != 204)) {
+        g_snprintf(text, sizeof(text), "%zu", size);
+        front_add_header(request, "content-length", text);
+    }
+    if (!request->has_no_body) {
+        g_string_append_len(request->out, body, (gssize)size);
+    }
     request->is_ended = true;
     schedule_response_write(request);
 }
@@ -101,9 +116,11 @@
     if (request->status != 0 || request->wsi == NULL) {
         return;
     }
-    front_add_header(request, "transfer-encoding", "chunked");
-    front_add_header(request, "cache-control", "no-cache");
     begin_response(request, status, content_type);
+    if (!request->has_no_body) {
+        front_add_header(request, "transfer-encoding", "chunked");
+    }
+    front_add_header(request, "cache-control", "no-cache");
     request->is_stream = true;
     base_counter_add(request->front->metrics.open_streams, 1);
     schedule_response_write(request);
@@ -120,6 +137,9 @@
     if (front_pending(request) == 0) {
         request->last_progress_ms = base_clock_ms();
     }
+    if (request->has_no_body) {
+        return;
+    }
     g_string_append_printf(request->out, "%zx\r\n", size);
     g_string_append_len(request->out, data, (gssize)size);
     g_string_append_len(request->out, "\r\n", 2);
@@ -133,7 +153,9 @@
     if (request->wsi == NULL || request->is_ended) {
         return;
     }
-    g_string_append(request->out, "0\r\n\r\n");
+    if (!request->has_no_body) {
+        g_string_append(request->out, "0\r\n\r\n");
+    }
     request->is_ended = true;
     schedule_response_write(request);
 }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -442,6 +442,83 @@
     }
 }
 
+/* Guards against bytes of a body after an answer that has none, which a caller
+ * takes for the answer to its next request on the connection. */
+TEST_F(Ingress, AnswersWithoutABodyAreFollowedByTheNextAnswer)
+{
+    struct {
+        const char *name;
+        const char *method;
+        const char *path;
+        const char *response; /* of the server, after "HTTP/1.1 " */
+        const char *head;     /* how the answer begins */
+    } cases[] = {
+        {"HEAD without a route", "HEAD", "/b/x", "", "HTTP/1.1 404"},
+        {"HEAD that no server takes", "HEAD", "/a/x",
+         "503 Busy\r\nx-refused: 1\r\ncontent-length: 7\r\n\r\n",
+         "HTTP/1.1 503"},
+        {"HEAD that a server fails", "HEAD", "/a/x",
+         "500 Failed\r\ncontent-length: 7\r\n\r\n", "HTTP/1.1 500"},
+        {"HEAD", "HEAD", "/a/x", "200 OK\r\ncontent-length: 7\r\n\r\n",
+         "HTTP/1.1 200"},
+        {"HEAD of chunks", "HEAD", "/a/x",
+         "200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "HTTP/1.1 200"},
+        {"HEAD to the end of the connection", "HEAD", "/a/x", "200 OK\r\n\r\n",
+         "HTTP/1.1 200"},
+        {"HEAD of a stream", "HEAD", "/a/x",
+         "200 OK\r\ncontent-type: text/event-stream\r\n"
+         "transfer-encoding: chunked\r\n\r\n",
+         "HTTP/1.1 200"},
+        {"204", "GET", "/a/x", "204 No Content\r\n\r\n", "HTTP/1.1 204"},
+        {"204 with a length", "GET", "/a/x",
+         "204 No Content\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204"},
+        {"205", "GET", "/a/x", "205 Reset\r\ncontent-length: 0\r\n\r\n",
+         "HTTP/1.1 205"},
+        {"304 with the length of what there is", "GET", "/a/x",
+         "304 Not Modified\r\ncontent-length: 7\r\n\r\n", "HTTP/1.1 304"},
+        {"204 of a stream", "GET", "/a/x",
+         "204 No Content\r\ncontent-type: text/event-stream\r\n\r\n",
+         "HTTP/1.1 204"},
+    };
+    std::string response;
+    struct test_server engine([&response](int fd, const std::string &request) {
+        test_write(fd, "HTTP/1.1 " + response.substr(0, response.size() - 2) +
+                           "x-id: " + test_header(request, "x-id") +
+                           "\r\n\r\n");
+    });
+    begin({&engine});
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        response = row.response;
+        int fd = test_connect(port);
+        test_write(fd, std::string(row.method) + " " + row.path +
+                           " HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n\r\n"
+                           "GET /ready HTTP/1.1\r\nx-id: q2\r\n"
+                           "connection: close\r\n\r\n");
+        std::string text;
+        char buffer[4096];
+        ssize_t n;
+        while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+            text.append(buffer, (size_t)n);
+        }
+        close(fd);
+        size_t end = text.find("\r\n\r\n");
+        ASSERT_NE(end, std::string::npos) << text;
+        std::string first = text.substr(0, end + 2);
+        EXPECT_EQ(first.substr(0, strlen(row.head)), row.head);
+        EXPECT_EQ(first.find("transfer-encoding"), std::string::npos) << first;
+        EXPECT_EQ(text.substr(end + 4, 12), "HTTP/1.1 200") << text;
+        EXPECT_NE(text.find("x-id: q2"), std::string::npos);
+        /* Neither is known here of what the server would send. */
+        if (row.head[9] == '2') {
+            EXPECT_EQ(first.find("content-length: 7"), std::string::npos);
+            EXPECT_EQ(first.find("content-length: 0") != std::string::npos,
+                      strcmp(row.head, "HTTP/1.1 205") == 0);
+        }
+    }
+}
+
 /* Guards against the node's own pages in place of a service's answer, which
  * also show callers the routes and loads of the installation; and against
  * routes that are served where no caller connects. */
