Read and write the connections to servers here

Cause: the HTTP client of libwebsockets formats the request line into 2 KB. The same client refused methods that it does not know, could not complete chunks with an extension, trailers or "Chunked" in capitals, and ended a call whose answer came during an upload.

Change: the library waits for the events of the sockets alone. The request is written whole; the response is parsed by http_parser, which the front uses for requests.

--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -14,7 +14,7 @@
 };
 
 static const struct lws_protocols PROTOCOLS[] = {
-    {"backends", backends_http_callback, 0, 0, 0, NULL, 0},
+    {"backends", backends_connection_event, 0, 0, 0, NULL, 0},
     {NULL, NULL, 0, 0, 0, NULL, 0},
 };
 
@@ -78,40 +78,6 @@
     backends->read_buffer = NULL;
 }
 
-static void
-connect_call(struct backends_call *call,
-             const struct backends_request *request)
-{
-    char host[256];
-    struct lws_client_connect_info info = {
-        .context = call->owner->lws,
-        .vhost = call->owner->vhost,
-        .address = request->host,
-        .port = request->port,
-        .path = request->path,
-        .host = host,
-        .method = request->method,
-        .local_protocol_name = PROTOCOLS[0].name,
-        .alpn = "http/1.1",
-        /* Following a redirect would send the request twice. */
-        .ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT,
-        .opaque_user_data = call,
-        .pwsi = &call->wsi,
-        .iface = call->owner->source,
-    };
-
-    g_snprintf(host, sizeof(host), "%s:%d", request->host, request->port);
-    if (request->host_header != NULL) {
-        g_strlcpy(host, request->host_header, sizeof(host));
-    }
-    if (lws_client_connect_via_info(&info) == NULL) {
-        call->wsi = NULL;
-        backends_call_fail(call, BASE_UNAVAILABLE,
-                           "could not open a connection");
-        backends_call_end_soon(call);
-    }
-}
-
 /* Returns which part of a request would not be sent as it is, and so could be
  * read as another header or request; NULL: none. */
 static const char *
@@ -170,7 +136,7 @@
         base_counter_add(
             base_counter(backends->counters, "backend_attempts_total"), 1);
     }
-    connect_call(call, request);
+    backends_connection_open(call, request);
     return handle;
 }
 
@@ -236,12 +202,8 @@
                 const char *name, char *out, size_t size)
 {
     struct backends_call *call = backends_call_find(backends, handle);
-    char with_colon[64];
-    int length = g_snprintf(with_colon, sizeof(with_colon), "%s:", name);
+    const char *value =
+        call == NULL ? NULL : backends_response_header(call->response, name);
 
-    if (call == NULL || call->wsi == NULL) {
-        return false;
-    }
-    return lws_hdr_custom_copy(call->wsi, out, (int)size, with_colon,
-                               length) >= 0;
+    return value != NULL && g_strlcpy(out, value, size) < size;
 }
--- a/packages/backends/backends_private.h
+++ b/packages/backends/backends_private.h
@@ -1,9 +1,11 @@
 /*
  * Declarations shared by the sources of backends:
  *
- * backends.c   the public functions and the libwebsockets vhost
- * call.c       a call: its state, time limits and end
- * http.c       libwebsockets' events on a call's connection
+ * backends.c    the public functions and the libwebsockets vhost
+ * call.c        a call: its state, time limits and end
+ * connection.c  the connection of a call: writes the request, reads and checks
+ *               the response
+ * response.c    the parser of a response (response.h)
  */
 #ifndef CARDAMOM_BACKENDS_PRIVATE_H
 #define CARDAMOM_BACKENDS_PRIVATE_H
@@ -11,48 +13,41 @@
 #include <libwebsockets.h>
 
 #include "backends/backends.h"
+#include "backends/response.h"
+
+enum { BACKENDS_READ_SIZE = 32768 };
 
 enum backends_phase {
     BACKENDS_CONNECTING,
-    BACKENDS_WAITING, /* bytes may have been sent; no response yet */
+    BACKENDS_WAITING, /* bytes may have been sent; no whole head yet */
     BACKENDS_READING, /* the response's head has arrived */
 };
 
-/* How the end of a response's body is marked. */
-enum backends_framing {
-    BACKENDS_BY_CLOSE, /* not marked: a truncated body can't be detected */
-    BACKENDS_BY_LENGTH,
-    BACKENDS_BY_CHUNKS,
-};
-
 struct backends_call {
     struct backends *owner;
     struct base_handle handle;
     const struct backends_ops *ops;
     void *context;
     struct lws *wsi;
+    int fd; /* owned by wsi */
     enum backends_phase phase;
     /* request */
-    char *body; /* freed once it is written */
+    GString *head; /* freed with the body once both are written */
+    char *body;
+    size_t head_size;
     size_t body_size;
-    size_t body_written;
-    char *content_type;
-    char **headers; /* name, value, ..., NULL */
+    size_t n_written;     /* bytes of head and body */
+    bool is_write_broken; /* the connection takes no more of the request */
     char *request_id;
     char *id_header;
     char *refusal_header; /* NULL: x-ran: no */
     int refusal_status;
     bool may_end_by_close;
-    bool is_head_method;
     /* response */
+    struct backends_response *response;
     int status;
-    enum backends_framing framing;
-    int64_t body_expected; /* bytes; only with BACKENDS_BY_LENGTH */
-    int64_t body_received;
-    int n_empty_reads; /* since the last byte of the body */
-    bool is_reading;   /* lws_http_client_read is on the stack */
-    bool is_at_close;  /* the current read found only the peer's close */
-    bool is_reset;     /* that close was a reset */
+    bool is_parsing; /* the parser is on the stack */
+    bool is_ended;   /* `done` was called; freed when the parser returns */
     bool is_refused_not_run;
     bool is_complete;
     bool is_failed; /* err has the reason */
@@ -82,12 +77,13 @@
 void backends_call_enter(struct backends_call *call,
                          enum backends_phase phase);
 void backends_call_schedule(struct backends_call *call, int64_t now_ms);
+void backends_call_free(struct backends_call *call);
 
-/* http.c */
-int backends_http_callback(struct lws *wsi, enum lws_callback_reasons reason,
-                           void *user, void *in, size_t length);
-/* At least as many bytes as libwebsockets may have read together with the
- * head, so that one read passes on all of them. */
-enum { BACKENDS_READ_SIZE = 32768 };
+/* connection.c */
+int backends_connection_event(struct lws *wsi,
+                              enum lws_callback_reasons reason, void *user,
+                              void *in, size_t length);
+void backends_connection_open(struct backends_call *call,
+                              const struct backends_request *request);
 
 #endif
--- a/packages/backends/call.c
+++ b/packages/backends/call.c
@@ -31,18 +31,15 @@
     *slot = call;
     call->ops = request->ops;
     call->context = request->context;
+    call->fd = -1;
     call->body = g_memdup2(request->body, request->body_size);
     call->body_size = request->body_size;
-    call->content_type = g_strdup(request->content_type ? request->content_type
-                                                        : "application/json");
-    call->headers = g_strdupv((char **)request->headers);
     call->request_id = g_strdup(request->request_id);
     call->id_header =
         g_strdup(request->id_header ? request->id_header : "x-request-id");
     call->refusal_header = g_strdup(request->refusal_header);
     call->refusal_status = request->refusal_status;
     call->may_end_by_close = request->may_end_by_close;
-    call->is_head_method = strcmp(request->method, "HEAD") == 0;
     call->connect_ms = request->connect_ms ? request->connect_ms : CONNECT_MS;
     call->first_byte_ms =
         request->first_byte_ms ? request->first_byte_ms : FIRST_BYTE_MS;
@@ -51,12 +48,17 @@
     return call;
 }
 
-static void
-free_call(struct backends_call *call)
+/* Frees a call that has ended. */
+void
+backends_call_free(struct backends_call *call)
 {
     g_free(call->body);
-    g_free(call->content_type);
-    g_strfreev(call->headers);
+    if (call->head != NULL) {
+        g_string_free(call->head, TRUE);
+    }
+    if (call->response != NULL) {
+        backends_response_free(call->response);
+    }
     g_free(call->request_id);
     g_free(call->id_header);
     g_free(call->refusal_header);
@@ -87,7 +89,8 @@
     return BASE_RAN;
 }
 
-/* Ends the call: closes its connection, calls `done` and frees the call.
+/* Ends the call: closes its connection, calls `done` and frees the call; while
+ * the parser runs, its caller frees it.
  * libwebsockets closes the connection asynchronously, so the pointer from the
  * connection to the call is removed first. */
 void
@@ -106,8 +109,11 @@
         lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
     base_table_remove(&call->owner->calls, call->handle);
+    call->is_ended = true;
     call->ops->done(call->context, &result);
-    free_call(call);
+    if (!call->is_parsing) {
+        backends_call_free(call);
+    }
 }
 
 /* Enters a phase and starts its time limit. */
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -387,6 +387,59 @@
     EXPECT_EQ(arrived.substr(arrived.find("\r\n\r\n") + 4), body);
 }
 
+/* Guards against requests that the client library cuts short or does not
+ * know: a target or a header is sent whole, whatever its size. */
+TEST_F(Backends, LongAndRareRequestsAreSentUnchanged)
+{
+    const std::string path = "/v1/" + std::string(16000, 'p') + "?q";
+    const std::string value(30000, 'v');
+    const char *headers[] = {"x-long", value.c_str(), nullptr};
+
+    for (const char *method :
+         {"POST", "PROPFIND", "TRACE", "PURGE", "QUERY"}) {
+        SCOPED_TRACE(method);
+        struct test_server server([](int fd, const std::string &) {
+            test_write(fd, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+        });
+        struct backends_request request = request_to(server.port);
+        struct record record = {};
+        request.method = method;
+        request.path = path.c_str();
+        request.headers = headers;
+        run(request, &record);
+        EXPECT_EQ(record.result.verdict, BASE_RAN);
+        std::string arrived = server.requests().at(0);
+        EXPECT_TRUE(arrived.substr(0, arrived.find("\r\n")) ==
+                    std::string(method) + " " + path + " HTTP/1.1");
+        EXPECT_TRUE(test_header(arrived, "x-long") == value);
+        EXPECT_EQ(arrived.substr(arrived.find("\r\n\r\n") + 4), "{}");
+    }
+}
+
+/* A server may answer before it has read the request, and not read it. */
+TEST_F(Backends, AnAnswerDuringTheUploadIsReadWhole)
+{
+    const std::string body(3000000, 'x');
+    for (const char *status : {"200 OK", "413 Too Large"}) {
+        SCOPED_TRACE(status);
+        struct test_server server(
+            [&](int fd, const std::string &) {
+                test_write(fd, std::string("HTTP/1.1 ") + status +
+                                   "\r\ncontent-length: 2\r\n\r\nab");
+                shutdown(fd, SHUT_WR);
+                test_wait_for_close(fd);
+            },
+            false);
+        struct record record = {};
+        struct backends_request request = request_to(server.port);
+        request.body = body.data();
+        request.body_size = body.size();
+        run(request, &record);
+        EXPECT_TRUE(record.result.is_complete);
+        EXPECT_EQ(record.body, "ab");
+    }
+}
+
 /* A refused connection proves that the server did not run the request. */
 TEST_F(Backends, RefusedConnectionIsNotRun)
 {
