--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -196,14 +196,13 @@
     backends_call_schedule(call, base_clock_ms());
 }
 
-/* Copies a header of the response; see the header file. */
-bool
+/* Returns a header of the response; see the header file. */
+const char *
 backends_header(struct backends *backends, struct base_handle handle,
-                const char *name, char *out, size_t size)
+                const char *name)
 {
-    struct backends_call *call = backends_call_find(backends, handle);
-    const char *value =
-        call == NULL ? NULL : backends_response_header(call->response, name);
+    const struct backends_call *call = backends_call_find(backends, handle);
 
-    return value != NULL && g_strlcpy(out, value, size) < size;
+    return call == NULL ? NULL
+                        : backends_response_header(call->response, name);
 }
--- a/packages/backends/backends.h
+++ b/packages/backends/backends.h
@@ -122,11 +122,11 @@
 /* Changes the silence limit of a running call. */
 void backends_set_silence(struct backends *backends, struct base_handle call,
                           int64_t silence_ms);
-/* Copies a header of the response into `out`; call it only within ops->head.
- * `name` is in lower case.  Returns false if the response has no such header
- * or its value does not fit. */
-bool backends_header(struct backends *backends, struct base_handle call,
-                     const char *name, char *out, size_t size);
+/* Returns a header of the response, or NULL if it has none; call it only
+ * within ops->head, which the value does not outlive.  `name` is in lower
+ * case. */
+const char *backends_header(struct backends *backends, struct base_handle call,
+                            const char *name);
 
 #ifdef __cplusplus
 }
--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -424,6 +424,7 @@
     exchange_sync_world(exchange);
     attempt->exchange = exchange;
     attempt->front = exchange->front;
+    attempt->content_type = g_strdup("");
     attempt->is_hedge = is_hedge;
     attempt->state = ATTEMPT_ADMITTING;
     attempt->choice = exchange->choice;
@@ -444,15 +445,13 @@
     try_next_server(attempt);
 }
 
-/* Copies a header of the response, or returns NULL if it has none. */
+/* Returns a header of the response, or NULL if it has none. */
 static const char *
-copy_header(const struct attempt *attempt, const char *name, char *out,
-            size_t size)
+find_response_header(const struct attempt *attempt, const char *name)
 {
-    return name != NULL && backends_header(&attempt->front->backends,
-                                           attempt->call, name, out, size)
-               ? out
-               : NULL;
+    return name == NULL ? NULL
+                        : backends_header(&attempt->front->backends,
+                                          attempt->call, name);
 }
 
 /* Passes on what the response says of its server, unless another one sent
@@ -462,17 +461,13 @@
 {
     const struct front_protocol *protocol = attempt->exchange->protocol;
     struct control_response response = {.sent_ms = attempt->sent_us / 1000};
-    char limit[32];
-    char leaving[8];
 
     if (protocol == NULL || status == protocol->misdirected_status) {
         return;
     }
-    response.limit =
-        copy_header(attempt, protocol->request_limit, limit, sizeof(limit));
-    response.is_leaving = g_strcmp0(copy_header(attempt, protocol->leaving,
-                                                leaving, sizeof(leaving)),
-                                    "1") == 0;
+    response.limit = find_response_header(attempt, protocol->request_limit);
+    response.is_leaving =
+        g_strcmp0(find_response_header(attempt, protocol->leaving), "1") == 0;
     control_note_response(attempt->front->control, attempt->server_name,
                           &response);
 }
@@ -484,8 +479,8 @@
 
     note_response(attempt, status);
     attempt->status = status;
-    g_strlcpy(attempt->content_type, content_type,
-              sizeof(attempt->content_type));
+    g_free(attempt->content_type);
+    attempt->content_type = g_strdup(content_type);
     attempt->is_event_stream =
         status == 200 && g_str_has_prefix(content_type, "text/event-stream");
     attempt->exchange->ops->head(attempt->exchange, attempt);
@@ -742,6 +737,7 @@
     if (attempt->pending_output != NULL) {
         g_string_free(attempt->pending_output, TRUE);
     }
+    g_free(attempt->content_type);
     if (attempt->relayed_headers != NULL) {
         g_ptr_array_free(attempt->relayed_headers, TRUE);
     }
--- a/packages/front/exchange.h
+++ b/packages/front/exchange.h
@@ -66,7 +66,7 @@
     int tokens;
     /* response */
     int status;
-    char content_type[FRONT_NAME_SIZE];
+    char *content_type; /* of the response; "": none */
     bool is_event_stream;
     enum base_verdict verdict; /* valid when the call has ended */
     bool is_resumed;           /* the response continues an earlier one */
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -197,7 +197,7 @@
     void *state;            /* state of the handler */
     const char *class_name; /* class name in metrics; NULL: none */
     /* request head */
-    char id[FRONT_ID_SIZE];
+    char *id; /* as the caller sent it, whatever its size */
     char method[16];
     char *path;
     char *query;        /* "a=b&c=d", percent-encoded; may be NULL */
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -11,7 +11,6 @@
 enum {
     MAX_BUFFERED = 262144,    /* bytes of a response that is no stream */
     MAX_EVENT_BYTES = 262144, /* maximum size of one event of a stream */
-    VALUE_SIZE = 512,         /* of a relayed header */
     /* Time limit for the first event or byte of a response when another server
      * may serve the request instead: a multiple of the route's target, but at
      * least MIN_FIRST_OUTPUT_MS. */
@@ -38,10 +37,10 @@
 
     attempt->relayed_headers = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; protocol->relayed_headers[i] != NULL; i++) {
-        char value[VALUE_SIZE];
-        if (backends_header(&exchange->front->backends, attempt->call,
-                            protocol->relayed_headers[i], value,
-                            sizeof(value))) {
+        const char *value =
+            backends_header(&exchange->front->backends, attempt->call,
+                            protocol->relayed_headers[i]);
+        if (value != NULL) {
             g_ptr_array_add(attempt->relayed_headers,
                             g_strdup(protocol->relayed_headers[i]));
             g_ptr_array_add(attempt->relayed_headers, g_strdup(value));
--- a/packages/front/raw_connection.c
+++ b/packages/front/raw_connection.c
@@ -56,7 +56,8 @@
         front_request_header(request, request->front->protocol->request_id);
 
     if (id != NULL && id[0] != '\0') {
-        g_strlcpy(request->id, id, sizeof(request->id));
+        g_free(request->id);
+        request->id = g_strdup(id);
     }
 }
 
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -28,6 +28,7 @@
     request->operator_index = WORLD_NONE;
     request->started_us = base_clock_us();
     request->last_progress_ms = request->started_us / 1000;
+    request->id = g_malloc(RANDOM_ID_SIZE);
     base_random_id(request->id, RANDOM_ID_SIZE);
     if (front->world != NULL) {
         request->world = world_ref(front->world);
@@ -53,6 +54,7 @@
     if (--request->references > 0) {
         return;
     }
+    g_free(request->id);
     g_free(request->path);
     g_free(request->query);
     g_free(request->content_type);
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -65,19 +65,15 @@
     return false;
 }
 
-/* Refuses a submission whose id, host or path cannot be stored.  The id is
- * that of the caller's header, which request->id may have cut short.  Returns
+/* Refuses a submission whose id, host or path cannot be stored.  Returns
  * whether it was refused. */
 static bool
 refuse_unstorable_job(struct front_request *request)
 {
-    const char *id =
-        front_request_header(request, request->front->protocol->request_id);
     const char *host = front_request_header(request, "host");
     struct base_error err = {0};
 
-    if (jobs_can_store(id != NULL && id[0] != '\0' ? id : request->id, host,
-                       request->path, &err)) {
+    if (jobs_can_store(request->id, host, request->path, &err)) {
         return false;
     }
     front_fail(request, &FRONT_BAD_REQUEST, "%s", err.text);
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -442,6 +442,33 @@
     }
 }
 
+/* Guards against ids that are cut, so that two requests run under one id, and
+ * against answers whose proof or type is dropped for its size. */
+TEST_F(Ingress, LongIdsAndHeadersArePassedOnWhole)
+{
+    const std::string proof(3000, 'p');
+    const std::string type = "text/plain; x=" + std::string(500, 't');
+    struct test_server engine([&](int fd, const std::string &request) {
+        test_write(fd,
+                   "HTTP/1.1 200 OK\r\nx-id: " + test_header(request, "x-id") +
+                       "\r\nx-proof: " + proof + "\r\ncontent-type: " + type +
+                       "\r\ncontent-length: 2\r\n\r\nok");
+    });
+    begin({&engine});
+    for (size_t size : {1, 79, 80, 96, 1500}) {
+        SCOPED_TRACE(size);
+        const std::string id(size, 'q');
+        struct answer answer =
+            ask("GET /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: " + id +
+                "\r\n\r\n");
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_TRUE(test_header(engine.requests().back(), "x-id") == id);
+        EXPECT_TRUE(answer.headers["x-id"] == id);
+        EXPECT_TRUE(answer.headers["x-proof"] == proof);
+        EXPECT_TRUE(answer.headers["content-type"] == type);
+    }
+}
+
 /* Guards against bytes of a body after an answer that has none, which a caller
  * takes for the answer to its next request on the connection. */
 TEST_F(Ingress, AnswersWithoutABodyAreFollowedByTheNextAnswer)
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -200,15 +200,13 @@
            !is_complete_output(work, result);
 }
 
-/* Copies a header of the response, or returns NULL if it has none. */
+/* Returns a header of the response, or NULL if it has none. */
 static const char *
-copy_header(const struct jobs_work *work, const char *name, char *out,
-            size_t size)
+find_response_header(const struct jobs_work *work, const char *name)
 {
-    return name != NULL && backends_header(&work->run->jobs->backends,
-                                           work->call, name, out, size)
-               ? out
-               : NULL;
+    return name == NULL
+               ? NULL
+               : backends_header(&work->run->jobs->backends, work->call, name);
 }
 
 /* Passes on what the response says of its server, unless another one sent
@@ -218,17 +216,13 @@
 {
     const struct jobs_header_names *names = &work->run->jobs->names;
     struct control_response response = {.sent_ms = work->sent_at_us / 1000};
-    char limit[32];
-    char leaving[8];
 
     if (status == names->misdirected_status) {
         return;
     }
-    response.limit =
-        copy_header(work, names->request_limit, limit, sizeof(limit));
+    response.limit = find_response_header(work, names->request_limit);
     response.is_leaving =
-        g_strcmp0(copy_header(work, names->leaving, leaving, sizeof(leaving)),
-                  "1") == 0;
+        g_strcmp0(find_response_header(work, names->leaving), "1") == 0;
     control_note_response(work->run->jobs->control, work->server_name,
                           &response);
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -37,8 +37,8 @@
     JOBS_SUBMISSION_SIZE = 17, /* a random identity, hexadecimal */
     JOBS_MAX_ITEMS = 200,
     JOBS_MAX_WAIT_MS = 1000, /* longest delay of a read without results */
-    /* Of an item: path and headers.  With the headers that the runner adds
-     * they must fit into libwebsockets' buffer of 32,768 bytes. */
+    /* Of an item: path and headers; more than a front takes of a head, unless
+     * the configuration allows more. */
     JOBS_MAX_HEAD_BYTES = 28672,
     JOBS_MAX_TOKENS =
         INT32_MAX, /* of an item; the sum of all cannot overflow */
