Read event streams as their standard says

Cause: events were looked for as bytes up to "\n\n" in a C string, types were compared by case, and each id had to be the last one plus one.

Change: packages/base/event_stream finds lines and events, for the front and for items. Ids above the number of events only have to rise; where they count the events, a gap still shows that one is missing.

--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/event_stream.h"
+
 enum {
     FIRST_BYTE_MS = 30000, /* timeout of an engine; hedges start earlier */
     MAX_PATH = 1024,
@@ -482,7 +484,7 @@
     g_free(attempt->content_type);
     attempt->content_type = g_strdup(content_type);
     attempt->is_event_stream =
-        status == 200 && g_str_has_prefix(content_type, "text/event-stream");
+        status == 200 && base_is_event_stream(content_type);
     attempt->exchange->ops->head(attempt->exchange, attempt);
 }
 
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/event_stream.h"
+
 /* Handles requests whose route is selected by host and path.  Streams are
  * relayed event by event, so that a broken one can resume on another server
  * after the last complete event.  Other responses are buffered until they are
@@ -95,19 +97,16 @@
 read_event_id(const char *event, size_t size, char *out, size_t out_size)
 {
     const char *at = event;
-    const char *end = event + size;
-
-    while (at < end) {
-        const char *line_end = memchr(at, '\n', (size_t)(end - at));
-        size_t length =
-            line_end == NULL ? (size_t)(end - at) : (size_t)(line_end - at);
-        if (length > 3 && memcmp(at, "id:", 3) == 0) {
-            char *text = g_strndup(at + 3, length - 3);
+    const char *line;
+    size_t length;
+
+    while (base_event_line(&at, event + size, &line, &length)) {
+        if (length > 3 && memcmp(line, "id:", 3) == 0) {
+            char *text = g_strndup(line + 3, length - 3);
             g_strlcpy(out, g_strstrip(text), out_size);
             g_free(text);
             return true;
         }
-        at += length + 1;
     }
     return false;
 }
@@ -142,24 +141,14 @@
     return true;
 }
 
-/* Returns the size of the first complete event at `from`, with the empty line
- * that ends it; 0: no complete event. */
-static size_t
-find_event_size(const GString *text, size_t from)
-{
-    const char *end =
-        g_strstr_len(text->str + from, (gssize)(text->len - from), "\n\n");
-
-    return end == NULL ? 0 : (size_t)(end - (text->str + from)) + 2;
-}
-
 static void
 relay_events(struct ingress *ingress, struct attempt *attempt)
 {
     size_t from = 0;
     size_t size;
 
-    while ((size = find_event_size(attempt->buffered_body, from)) > 0) {
+    while ((size = base_event_size(attempt->buffered_body->str + from,
+                                   attempt->buffered_body->len - from)) > 0) {
         if (!relay_event(ingress, attempt, attempt->buffered_body->str + from,
                          size)) {
             return;
@@ -260,8 +249,10 @@
         return ATTEMPT_BROKEN;
     }
     if (attempt->is_event_stream) {
-        return attempt->buffered_body->len == 0 ? ATTEMPT_COMPLETE
-                                                : ATTEMPT_BROKEN;
+        return base_event_is_empty(attempt->buffered_body->str,
+                                   attempt->buffered_body->len)
+                   ? ATTEMPT_COMPLETE
+                   : ATTEMPT_BROKEN;
     }
     if (result->status < 500 || exchange->is_committed) {
         return ATTEMPT_COMPLETE;
@@ -304,6 +295,9 @@
     log_relayed(exchange, attempt);
     if (attempt->is_event_stream || exchange->is_committed) {
         begin_stream(exchange, attempt);
+        /* Of a stream: line ends after its last event. */
+        front_stream_write(request, attempt->buffered_body->str,
+                           attempt->buffered_body->len);
         front_stream_end(request);
         return;
     }
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -442,6 +442,53 @@
     }
 }
 
+/* Guards against streams that never end, or that are relayed as one piece,
+ * because their lines end otherwise or their type is written otherwise. */
+TEST_F(Ingress, StreamsOfAnyLineEndAreRelayedByEvents)
+{
+    const std::string event_lf = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    struct {
+        const char *name;
+        const char *type;
+        std::string text;
+    } cases[] = {
+        {"LF", "text/event-stream", event_lf},
+        {"CR LF", "text/event-stream",
+         "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"},
+        {"CR", "text/event-stream", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r"},
+        {"a zero byte", "text/event-stream",
+         std::string("id: 1\ndata: a\0b\n\n", 17)},
+        {"a type in capitals", "Text/Event-Stream", event_lf},
+        {"a parameter", "text/event-stream;charset=utf-8", event_lf},
+    };
+    std::string type;
+    std::string text;
+    struct test_server engine([&](int fd, const std::string &request) {
+        test_write(fd,
+                   "HTTP/1.1 200 OK\r\nx-id: " + test_header(request, "x-id") +
+                       "\r\nx-proof: p1\r\ncontent-type: " + type +
+                       "\r\nTransfer-Encoding: Chunked\r\n\r\n");
+        for (char byte : text) {
+            test_write(fd, chunk(std::string(1, byte)));
+        }
+        test_write(fd, "0\r\nx-sum: 1\r\n\r\n");
+    });
+    begin({&engine});
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        type = row.type;
+        text = row.text;
+        int64_t n_tokens = counter("tokens_relayed_total");
+        struct answer answer = ask(post("/a/x", ""));
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_TRUE(answer.is_complete);
+        EXPECT_EQ(answer.headers["content-type"], row.type);
+        EXPECT_TRUE(answer.body == row.text);
+        EXPECT_GT(counter("tokens_relayed_total"), n_tokens)
+            << "no event was counted";
+    }
+}
+
 /* Guards against ids that are cut, so that two requests run under one id, and
  * against answers whose proof or type is dropped for its size. */
 TEST_F(Ingress, LongIdsAndHeadersArePassedOnWhole)
--- a/packages/jobs/events.c
+++ b/packages/jobs/events.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/event_stream.h"
+
 /* Limits the memory for one stream. */
 enum {
     MAX_EVENT_BYTES = 1 << 20, /* an incomplete event */
@@ -85,25 +87,25 @@
 parse_event(struct event *event, const char *text, size_t size)
 {
     const char *end = text + size;
+    const char *line;
+    size_t length;
 
-    while (text < end) {
-        const char *line_end = memchr(text, '\n', (size_t)(end - text));
-        size_t length = line_end == NULL ? (size_t)(end - text)
-                                         : (size_t)(line_end - text);
-        size_t used = length;
-        if (used > 0 && text[used - 1] == '\r') {
-            used--;
-        }
-        parse_field(event, text, used);
-        text += length + 1;
+    while (base_event_line(&text, end, &line, &length)) {
+        parse_field(event, line, length);
     }
 }
 
-/* Ids come from the server: the largest one has no successor. */
+/* Returns whether an id may follow those of the events so far.  Servers count
+ * events from 1, so that a gap shows that one is missing; where the ids are
+ * above the number of events, as with tokens or offsets, they only have to
+ * rise.  Ids come from the server: the largest one has no successor. */
 static bool
-is_next_id(int64_t last, int64_t id)
+may_follow(const struct jobs_events *events, int64_t id)
 {
-    return last < G_MAXINT64 && id == last + 1;
+    int64_t last = events->last_id;
+
+    return last < G_MAXINT64 &&
+           (id == last + 1 || (last > events->count && id > last));
 }
 
 static void
@@ -116,7 +118,7 @@
         return; /* a comment or a keep-alive without data */
     }
     if ((event.has_id && events->count > 0 && events->has_ids &&
-         !is_next_id(events->last_id, event.id)) ||
+         !may_follow(events, event.id)) ||
         events->text->len + event.data->len > MAX_TEXT_BYTES) {
         events->is_corrupt = true;
     }
@@ -139,19 +141,17 @@
 jobs_events_feed(struct jobs_events *events, const char *data, size_t size)
 {
     size_t from = 0;
-    const char *end;
+    size_t length;
 
     if (events->is_corrupt) {
         return;
     }
     g_string_append_len(events->pending, data, (gssize)size);
     while (!events->is_corrupt &&
-           (end = g_strstr_len(events->pending->str + from,
-                               (gssize)(events->pending->len - from),
-                               "\n\n")) != NULL) {
-        size_t length = (size_t)(end - (events->pending->str + from));
+           (length = base_event_size(events->pending->str + from,
+                                     events->pending->len - from)) > 0) {
         append_event(events, events->pending->str + from, length);
-        from += length + 2;
+        from += length;
     }
     g_string_erase(events->pending, 0, (gssize)from);
     if (events->pending->len > MAX_EVENT_BYTES) {
@@ -164,8 +164,8 @@
 bool
 jobs_events_are_complete(const struct jobs_events *events)
 {
-    return !events->is_corrupt && events->pending->len == 0 &&
-           events->count > 0;
+    return !events->is_corrupt && events->count > 0 &&
+           base_event_is_empty(events->pending->str, events->pending->len);
 }
 
 /* Returns whether the next attempt may resume after last_id. */
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/event_stream.h"
 #include "base/http_text.h"
 
 enum {
@@ -234,8 +235,8 @@
 
     note_response(work, status);
     work->status = status;
-    work->is_stream = status == STATUS_OK &&
-                      g_str_has_prefix(content_type, "text/event-stream");
+    work->is_stream =
+        status == STATUS_OK && base_is_event_stream(content_type);
 }
 
 static void
