--- a/packages/base/http_text.c
+++ b/packages/base/http_text.c
@@ -60,9 +60,16 @@
 base_http_is_hop_header(const char *name)
 {
     static const char *const NAMES[] = {
-        "connection",          "keep-alive", "proxy-authenticate",
-        "proxy-authorization", "te",         "trailer",
-        "transfer-encoding",   "upgrade",    "expect",
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(NAMES); i++) {
@@ -73,6 +80,26 @@
     return false;
 }
 
+/* Returns whether the value of a Connection header lists a header, which then
+ * concerns only the connection too. */
+bool
+base_http_lists_header(const char *connection, const char *name)
+{
+    size_t size = strlen(name);
+
+    while (*connection != '\0') {
+        size_t length;
+        connection += strspn(connection, ", \t");
+        length = strcspn(connection, ", \t");
+        if (length == size &&
+            g_ascii_strncasecmp(connection, name, size) == 0) {
+            return true;
+        }
+        connection += length;
+    }
+    return false;
+}
+
 /* Returns whether a text can be stored as a JSON string. */
 bool
 base_text_is_storable(const char *text)
--- a/packages/base/http_text.h
+++ b/packages/base/http_text.h
@@ -25,6 +25,7 @@
 bool base_http_is_value(const char *text);
 bool base_http_is_id(const char *text);
 bool base_http_is_hop_header(const char *name);
+bool base_http_lists_header(const char *connection, const char *name);
 
 bool base_text_is_storable(const char *text);
 json_t *base_json_text(const char *text);
--- a/packages/front/ingress.c
+++ b/packages/front/ingress.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/event_stream.h"
+#include "base/http_text.h"
 
 /* Handles requests whose route is selected by host and path.  Streams are
  * relayed event by event, so that a broken one can resume on another server
@@ -365,33 +366,37 @@
             g_ascii_strcasecmp(protocol->operator_name, name) == 0);
 }
 
-/* Returns whether a header of the caller is not forwarded to the server. */
+/* Returns whether the call to the server sets a header, or this node decides
+ * its value. */
 static bool
-is_dropped_header(const struct front_protocol *protocol, const char *name)
+is_set_here(const struct front_protocol *protocol, const char *name)
 {
-    /* Hop-by-hop headers, headers that the call to the server sets, and the
-     * protocol's headers whose value this node decides. */
-    const char *const dropped[] = {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "proxy-authorization",
-        "upgrade",
-        "expect",
-        "transfer-encoding",
-        "content-length",
-        "host",
-        "content-type",
-        protocol->request_id,
-        protocol->deadline_ms,
-        protocol->expected_server,
+    const char *const set[] = {
+        "content-length",        "host",
+        "content-type",          protocol->request_id,
+        protocol->deadline_ms,   protocol->expected_server,
         protocol->last_event_id,
     };
 
-    for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
-        if (g_ascii_strcasecmp(dropped[i], name) == 0) {
+    for (size_t i = 0; i < G_N_ELEMENTS(set); i++) {
+        if (g_ascii_strcasecmp(set[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether a header concerns only the caller's connection, by its name
+ * or because the caller says so. */
+static bool
+is_hop_header(const GPtrArray *headers, const char *name)
+{
+    if (base_http_is_hop_header(name)) {
+        return true;
+    }
+    for (guint i = 0; i + 1 < headers->len; i += 2) {
+        if (g_ascii_strcasecmp(headers->pdata[i], "connection") == 0 &&
+            base_http_lists_header(headers->pdata[i + 1], name)) {
             return true;
         }
     }
@@ -411,14 +416,15 @@
 copy_headers(const struct front_request *request)
 {
     const struct front_protocol *protocol = request->front->protocol;
+    const GPtrArray *headers = request->request_headers;
     bool has_operators = request->world->has_operators;
     GPtrArray *copy = g_ptr_array_new_with_free_func(g_free);
 
-    for (guint i = 0; i + 1 < request->request_headers->len; i += 2) {
-        const char *name = request->request_headers->pdata[i];
-        if (!is_dropped_header(protocol, name) &&
+    for (guint i = 0; i + 1 < headers->len; i += 2) {
+        const char *name = headers->pdata[i];
+        if (!is_set_here(protocol, name) && !is_hop_header(headers, name) &&
             !(has_operators && is_identity_header(protocol, name))) {
-            append_header(copy, name, request->request_headers->pdata[i + 1]);
+            append_header(copy, name, headers->pdata[i + 1]);
         }
     }
     if (request->operator_name[0] != '\0' && protocol->operator_name != NULL) {
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -442,6 +442,27 @@
     }
 }
 
+/* Guards against headers of the caller's connection that reach a server, where
+ * they could change how it reads the request. */
+TEST_F(Ingress, HeadersOfTheCallersConnectionStayOnIt)
+{
+    struct test_server engine(serve_stream);
+    begin({&engine});
+    ask(post("/a/x", "",
+             "Connection: keep-alive, X-Secret\r\nx-secret: 1\r\n"
+             "connection:X-Other,close\r\nX-OTHER: 2\r\n"
+             "Proxy-Connection: keep-alive\r\nKeep-Alive: 5\r\n"
+             "x-secrets: 3\r\n"));
+    ASSERT_EQ(engine.requests().size(), 1u);
+    const std::string seen = engine.requests()[0];
+    for (const char *name : {"x-secret", "X-OTHER", "Proxy-Connection",
+                             "Keep-Alive", "Connection"}) {
+        EXPECT_EQ(test_header(seen, name), "") << name;
+    }
+    EXPECT_EQ(test_header(seen, "connection"), "close");
+    EXPECT_EQ(test_header(seen, "x-secrets"), "3");
+}
+
 /* Guards against streams that never end, or that are relayed as one piece,
  * because their lines end otherwise or their type is written otherwise. */
 TEST_F(Ingress, StreamsOfAnyLineEndAreRelayedByEvents)
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -322,6 +322,16 @@
     return base_http_is_hop_header(name);
 }
 
+/* Returns whether the headers of an item say that one of them concerns only a
+ * connection. */
+static bool
+is_listed_header(const struct jobs_item *item, const char *name)
+{
+    const char *connection = find_header(item, "connection");
+
+    return connection != NULL && base_http_lists_header(connection, name);
+}
+
 static void
 add_header(GPtrArray *headers, const char *name, const char *value)
 {
@@ -338,7 +348,8 @@
     char after[24];
 
     for (guint i = 0; i + 1 < item->headers->len; i += 2) {
-        if (!is_own_header(names, item->headers->pdata[i])) {
+        if (!is_own_header(names, item->headers->pdata[i]) &&
+            !is_listed_header(item, item->headers->pdata[i])) {
             add_header(headers, item->headers->pdata[i],
                        item->headers->pdata[i + 1]);
         }
