Take the time of a planned stop from the site

The settings template gave 7.5 s for running work whatever graceS is, so that a stop with less would be cut off (review, by reading). The settings have grace_s now; the work has until half a second before its end.

Test: Settings.TheGraceOfAStopLimitsTheDrain.

--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -8,6 +8,7 @@
 enum {
     DEFAULT_HTTP_PORT = 8080,
     DEFAULT_DRAIN_MS = 600000,
+    EXIT_MARGIN_MS = 500, /* of the grace of a stop, for the exit */
     MAX_DRAIN_MS = 10 * DEFAULT_DRAIN_MS,
     MAX_WATCHERS = 1000,
     MAX_PORT = 65535,
@@ -26,7 +27,8 @@
     "name",     "zone",        "environment",  "http",     "control",
     "bulk",     "data_folder", "trace_folder", "seeds",    "keys",
     "platform", "policy",      "log_level",    "drain_ms", "batch_runner",
-    "announce", "source",      "site",         "cpu",      NULL,
+    "grace_s",  "announce",    "source",       "site",     "cpu",
+    NULL,
 };
 static const char *const SITE_MEMBERS[] = {"callers",
                                            "probes",
@@ -389,6 +391,25 @@
     return refuse(value, path, name, allowed, err);
 }
 
+/* Reads the time from SIGTERM until the process is killed; it must have ended
+ * by itself before that. */
+static bool
+read_grace(struct node_settings *settings, const json_t *root,
+           struct base_error *err)
+{
+    double grace_s = 0;
+
+    if (!read_real(root, "$", "grace_s", MAX_DRAIN_MS / 1000.0, &grace_s,
+                   err)) {
+        return false;
+    }
+    if (grace_s > 0) {
+        settings->drain_ms =
+            MAX((int64_t)(grace_s * 1000) - EXIT_MARGIN_MS, 0);
+    }
+    return true;
+}
+
 static bool
 read_rate_tolerance(struct node_site_settings *site, const json_t *json,
                     struct base_error *err)
@@ -495,7 +516,8 @@
     settings->log_level = (enum base_log_level)(BASE_LOG_ERROR + level);
     settings->drain_ms = DEFAULT_DRAIN_MS;
     return read_number(root, "$", "drain_ms", 0, MAX_DRAIN_MS,
-                       &settings->drain_ms, err);
+                       &settings->drain_ms, err) &&
+           read_grace(settings, root, err);
 }
 
 static bool
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -47,6 +47,33 @@
     }
 }
 
+/* Guards against a planned stop that is cut off because the site allows less
+ * time for it than the settings. */
+TEST(Settings, TheGraceOfAStopLimitsTheDrain)
+{
+    struct {
+        const char *member;
+        int64_t drain_ms;
+    } cases[] = {
+        {"\"grace_s\":8,", 7500},
+        {"\"grace_s\":2.5,", 2000},
+        {"\"grace_s\":0.2,", 0},
+        {"\"drain_ms\":9000,\"grace_s\":5,", 4500},
+        {"\"drain_ms\":9000,", 9000},
+    };
+    for (const auto &row : cases) {
+        std::string text = VALID;
+        text.insert(1, row.member);
+        struct node_settings settings;
+        struct base_error err = {BASE_OK, ""};
+        ASSERT_TRUE(
+            node_settings_parse(&settings, text.c_str(), text.size(), &err))
+            << err.text;
+        EXPECT_EQ(settings.drain_ms, row.drain_ms) << row.member;
+        node_settings_finish(&settings);
+    }
+}
+
 /* Each invalid settings text must be refused with an error that begins with
  * the path of the faulty member, and that gives the value found and the values
  * allowed. */
@@ -89,6 +116,8 @@
         {"\"platform\"",
          "\"site\":{\"cost_routing\":1,\"zones\":{\"a\":\"r\"}},\"platform\"",
          "$.site.cost_routing", "found 1", "true or false"},
+        {"\"platform\"", "\"grace_s\":-1,\"platform\"", "$.grace_s",
+         "found -1", "a number from 0"},
         {"}}", "}", "line 1", "column", "not valid JSON"},
     };
     for (const auto &row : cases) {
