Forget servers that are gone

Entries of servers that were removed were kept for good, and after 20,000 entries new servers were ignored (review, by reading).

Change: at most 2,000 removed entries are kept, the newest; a full table is logged.

--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -10,6 +10,9 @@
      * each server still sends its next heartbeat in time. */
     MIN_LAPSE_OUTAGE_MS = 1000,
     MAX_ENTRIES = 20000,
+    /* Of these, removed ones.  They are kept so that a node that was cut off
+     * does not bring them back. */
+    MAX_REMOVED = 2000,
     /* Requests that a server may run at once, far more than any does: sums
      * over a site's servers must stay in range. */
     MAX_SLOTS = 65536,
@@ -221,19 +224,60 @@
              entry->is_server ? entry->server.port : 0, entry->revision, from);
 }
 
+static gint
+compare_revisions(gconstpointer a, gconstpointer b)
+{
+    const struct control_registered *const *left = a;
+    const struct control_registered *const *right = b;
+
+    return ((*left)->revision > (*right)->revision) -
+           ((*left)->revision < (*right)->revision);
+}
+
+/* Forgets the removed entries that are longest unchanged, if there are more
+ * than MAX_REMOVED. */
+static void
+limit_removed(struct control *control)
+{
+    GPtrArray *removed = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->registry.entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct control_registered *entry = value;
+        if (entry->value == NULL) {
+            g_ptr_array_add(removed, value);
+        }
+    }
+    if (removed->len > MAX_REMOVED) {
+        g_ptr_array_sort(removed, compare_revisions);
+    }
+    for (guint i = 0; i + MAX_REMOVED < removed->len; i++) {
+        const struct control_registered *entry = removed->pdata[i];
+        g_hash_table_remove(control->registry.entries, entry->key);
+    }
+    g_ptr_array_free(removed, TRUE);
+}
+
 static struct control_registered *
 find_or_add(struct control *control, const char *key)
 {
     struct control_registered *entry =
         g_hash_table_lookup(control->registry.entries, key);
 
-    if (entry == NULL &&
-        g_hash_table_size(control->registry.entries) < MAX_ENTRIES) {
-        entry = g_new0(struct control_registered, 1);
-        entry->key = g_strdup(key);
-        entry->content = hash_content(entry);
-        g_hash_table_insert(control->registry.entries, entry->key, entry);
+    if (entry != NULL) {
+        return entry;
     }
+    if (g_hash_table_size(control->registry.entries) >= MAX_ENTRIES) {
+        base_log(BASE_LOG_WARNING, "server.ignored",
+                 "key=%s reason=\"there are %d entries\"", key, MAX_ENTRIES);
+        return NULL;
+    }
+    entry = g_new0(struct control_registered, 1);
+    entry->key = g_strdup(key);
+    entry->content = hash_content(entry);
+    g_hash_table_insert(control->registry.entries, entry->key, entry);
     return entry;
 }
 
@@ -268,6 +312,7 @@
 static void
 publish_changes(struct control *control)
 {
+    limit_removed(control);
     update_digest(control);
     update_world(control);
     control_broadcast_changes(control);
@@ -520,6 +565,7 @@
         }
     }
     if (is_changed) {
+        limit_removed(control);
         update_digest(control);
         update_world(control);
     }
--- a/packages/control/test_platform.cc
+++ b/packages/control/test_platform.cc
@@ -38,6 +38,7 @@
     void put_server(const std::string &key, const std::string &text);
     void remove_server(const std::string &key);
     void deliver_listings();
+    void relist(int n_extra);
     void beat();
     void cut_off_all_but(struct base_task *spared);
     bool is_watched_by(struct base_task *task);
@@ -191,6 +192,28 @@
     held.clear();
 }
 
+/* Lists all entries anew, as after a gap in the history, with some of further
+ * servers in place of those of the last call. */
+void
+platform::relist(int n_extra)
+{
+    std::lock_guard<std::mutex> guard(lock);
+    auto extra = servers.lower_bound("servers/extra");
+    while (extra != servers.end() &&
+           extra->first.rfind("servers/extra", 0) == 0) {
+        extra = servers.erase(extra);
+    }
+    revision++;
+    for (int i = 0; i < n_extra; i++) {
+        servers["servers/extra" + std::to_string(i)] = {++revision, "ready"};
+    }
+    for (auto &entry : watches) {
+        if (entry.second.prefix == "servers/") {
+            list_entries(entry.second);
+        }
+    }
+}
+
 /* Writes every entry once more, as heartbeats do. */
 void
 platform::beat()
@@ -622,6 +645,20 @@
     }
 }
 
+/* Guards against new servers that are ignored for good, since the entries of
+ * those that are gone fill the table. */
+TEST(ControlPlatform, ServersAreUsedAfterManyOthersHaveGone)
+{
+    Cluster cluster;
+    cluster.use_site({"servers/s0"});
+    cluster.add(1);
+    ASSERT_TRUE(cluster.all_use_servers(1));
+    cluster.platform.relist(20100);
+    cluster.platform.relist(0);
+    cluster.platform.put_server("servers/s1", "ready");
+    EXPECT_TRUE(cluster.all_use_servers(2));
+}
+
 /* A server that registers while another node's listing is under way must not
  * be removed for not being in it. */
 TEST(ControlPlatform, ListingRemovesNoServerThatRegisteredAfterIt)
