--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -794,12 +794,26 @@
     }
 };
 
-/* Returns an unused address for the RPCs of a node. */
+/* Returns an unused address for the RPCs of a node.  Its port is below those
+ * that the system gives to outgoing connections, which could take it again
+ * before the node listens. */
 std::string
 free_address()
 {
-    struct test_server probe([](int, const std::string &) {});
-    return "127.0.0.1:" + std::to_string(probe.port);
+    enum { FIRST_PORT = 20000, LAST_PORT = 32000 };
+    while (true) {
+        int port = g_random_int_range(FIRST_PORT, LAST_PORT);
+        struct sockaddr_in at = {};
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        at.sin_family = AF_INET;
+        at.sin_port = htons((uint16_t)port);
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bool is_free = bind(fd, (struct sockaddr *)&at, sizeof(at)) == 0;
+        close(fd);
+        if (is_free) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 /* Ends the leases of a node's runners, as the store does some time after the
