--- a/packages/backends/fuzz_backends.c
+++ b/packages/backends/fuzz_backends.c
@@ -70,6 +70,9 @@
     return seen;
 }
 
+/* Called by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
