--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -173,7 +173,7 @@
 {
     struct backends_call *call = backends_call_find(backends, handle);
 
-    if (call == NULL || !call->is_paused) {
+    if (call == NULL || !call->is_paused || call->wsi == NULL) {
         return;
     }
     call->is_paused = false;
--- a/packages/backends/connection.c
+++ b/packages/backends/connection.c
@@ -13,8 +13,7 @@
 
 /* The connection of a call.  libwebsockets waits for its events; reading and
  * writing is done here, since the library's HTTP client formats the request
- * line into 2 KB, knows few methods, and does not tell a reset from a close.
- */
+ * line into 2 KB, knows few methods, and reports a reset as a close. */
 
 enum {
     MAX_READS = 4, /* in a row, before other connections are served */
@@ -157,7 +156,7 @@
                           : strcmp(echoed, call->request_id) == 0;
 }
 
-/* Tells whether the server refused the request without running it. */
+/* Returns whether the server refused the request without running it. */
 static bool
 is_refused_not_run(const struct backends_call *call)
 {
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -230,7 +230,7 @@
     GString *out;       /* response bytes; emptied when all are written */
     size_t out_written; /* bytes of `out` passed to the connection */
     bool is_stream;
-    bool has_no_body; /* by its status, or since HEAD was asked */
+    bool has_no_body; /* by its status or the method HEAD */
     bool is_head_written;
     bool is_ended;     /* no more bytes will be added to `out` */
     bool closes_after; /* the connection is closed after the response */
