--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -269,12 +269,32 @@
     EXPECT_EQ(seen.substr(seen.find("\r\n\r\n") + 4), "body");
 }
 
-/* Sends requests of two sizes, resumed and failing ones, and returns the
- * expected work in the admissions of the first request, and then of one of
- * each size. */
-std::vector<int64_t>
+/* The expected work in the admissions of the first request, and then of one of
+ * each size, and how long the slowest complete response of that size took. */
+struct learned_work {
+    int64_t first_ms;
+    int64_t large_ms;
+    int64_t small_ms;
+    int64_t slowest_large_ms;
+    int64_t slowest_small_ms;
+};
+
+/* Sends a request; returns the longer of a time and how long it took, in whole
+ * milliseconds, rounded up. */
+int64_t
+ask_timed(Ingress &site, const std::string &request, int64_t slowest_ms)
+{
+    int64_t started_us = base_clock_us();
+    site.ask(request);
+    return std::max(slowest_ms, (base_clock_us() - started_us) / 1000 + 1);
+}
+
+/* Sends requests of two sizes, resumed and failing ones. */
+struct learned_work
 learn_work(Ingress &site)
 {
+    struct learned_work learned = {};
+
     struct test_server engine([&](int fd, const std::string &request) {
         bool is_odd = !test_header(request, "x-fail").empty() ||
                       !test_header(request, "last-event-id").empty();
@@ -296,8 +316,10 @@
 
     site.begin({&engine});
     for (int i = 0; i < 8; i++) {
-        site.ask(large);
-        site.ask(small);
+        learned.slowest_large_ms =
+            ask_timed(site, large, learned.slowest_large_ms);
+        learned.slowest_small_ms =
+            ask_timed(site, small, learned.slowest_small_ms);
     }
     for (int i = 0; i < 4; i++) {
         site.ask(resumed);
@@ -307,26 +329,32 @@
     site.ask(small);
     std::lock_guard<std::mutex> guard(fakes.lock);
     size_t n = fakes.admissions.size();
-    return {fakes.admissions[0].work_ms, fakes.admissions[n - 2].work_ms,
-            fakes.admissions[n - 1].work_ms};
+    learned.first_ms = fakes.admissions[0].work_ms;
+    learned.large_ms = fakes.admissions[n - 2].work_ms;
+    learned.small_ms = fakes.admissions[n - 1].work_ms;
+    return learned;
 }
 
 /* Guards against estimates that failed or resumed attempts distort, or that
- * mix the size classes. */
+ * mix the size classes: each must lie within the times that complete responses
+ * of its size took. */
 TEST_F(Ingress, AdmissionsHaveTheWorkThatCompleteResponsesTook)
 {
     desc.cost_routing = true;
-    auto works = learn_work(*this);
-    EXPECT_EQ(works[0], 0);
-    EXPECT_GE(works[1], 60);
-    EXPECT_LT(works[1], 100);
-    EXPECT_GE(works[2], 15);
-    EXPECT_LT(works[2], 60);
+    struct learned_work learned = learn_work(*this);
+    EXPECT_EQ(learned.first_ms, 0);
+    EXPECT_GE(learned.large_ms, 60);
+    EXPECT_LE(learned.large_ms, learned.slowest_large_ms);
+    EXPECT_GE(learned.small_ms, 15);
+    EXPECT_LE(learned.small_ms, learned.slowest_small_ms);
 }
 
 TEST_F(Ingress, AdmissionsHaveNoWorkWhileRoutingByCostIsOff)
 {
-    EXPECT_EQ(learn_work(*this), (std::vector<int64_t>{0, 0, 0}));
+    struct learned_work learned = learn_work(*this);
+    EXPECT_EQ(learned.first_ms, 0);
+    EXPECT_EQ(learned.large_ms, 0);
+    EXPECT_EQ(learned.small_ms, 0);
 }
 
 /* Guards against requests that come again being taken for new ones, and
