Revert "Keep the results of a complete job whatever position was read first"

What would keep them with fewer calls is open (several pages up to a bound); the reads that start at their position stay.

--- a/packages/jobs/stored_results.c
+++ b/packages/jobs/stored_results.c
@@ -6,18 +6,9 @@
  * results may be larger than what the link to the service carries in the time
  * of a call, or than this node should hold. */
 
-enum {
-    /* Pieces of a job that will not change, of which a first read takes all:
-     * these are small if they fit into one page of the service. */
-    MAX_KEPT_PIECES = 64,
-};
-
 struct stored_read {
     char id[JOBS_ID_SIZE];
-    int position;    /* of the first result that is wanted */
-    int piece;       /* that has it */
-    int piece_start; /* position of the first result of that piece's commit */
-    bool keeps_all;  /* reads from the first piece, as one page may have all */
+    int position; /* of the first result that is wanted */
     struct jobs_stored_callback callback;
     struct jobs_stored_results out;
 };
@@ -56,7 +47,7 @@
     int n_earlier =
         MIN(read->position - read->out.first, count_whole(read->out.results));
 
-    if (n_earlier > 0 && !read->keeps_all) {
+    if (n_earlier > 0) {
         g_ptr_array_remove_range(read->out.results, 0, (guint)n_earlier);
         read->out.first += n_earlier;
     }
@@ -86,7 +77,6 @@
 
 static void send_page(struct jobs *jobs, struct stored_read *read,
                       const char *after);
-static void send_first_page(struct jobs *jobs, struct stored_read *read);
 
 static void
 on_page(struct jobs *jobs, struct platform_kv *kv, void *context)
@@ -99,11 +89,6 @@
         fail_read(jobs, read, &kv->err);
         return;
     }
-    if (read->keeps_all && kv->has_more) {
-        read->keeps_all = false;
-        send_first_page(jobs, read);
-        return;
-    }
     if (!decode_page(read, kv, &err)) {
         fail_read(jobs, read, &err);
         return;
@@ -115,7 +100,7 @@
         return;
     }
     g_ptr_array_set_size(results, count_whole(results));
-    read->out.is_all = read->keeps_all;
+    read->out.is_all = read->position == 0 && !kv->has_more;
     read->out.is_ok = true;
     end_read(jobs, read);
 }
@@ -132,36 +117,23 @@
     jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_page, read});
 }
 
-/* Reads from the first piece, or from the one that has the position. */
-static void
-send_first_page(struct jobs *jobs, struct stored_read *read)
-{
-    int piece = read->keeps_all ? 0 : read->piece;
-    char *after =
-        piece == 0 ? NULL
-                   : jobs_piece_key(JOBS_RESULTS_PREFIX, read->id, piece - 1);
-
-    read->out.first = piece == 0 ? 0 : read->piece_start;
-    send_page(jobs, read, after);
-    g_free(after);
-}
-
 /* Reads results of a job from a position on, as many as one call returns and
- * at least one if there are any.  If the job will not change and one page has
- * all of its results, reads all, so that they can be kept. */
+ * at least one if there are any. */
 void
 jobs_stored_read(struct jobs *jobs, const struct jobs_head *head, int position,
                  struct jobs_stored_callback callback)
 {
     struct stored_read *read = g_new0(struct stored_read, 1);
+    int piece = jobs_head_find_piece(head, position);
+    char *after =
+        piece == 0 ? NULL
+                   : jobs_piece_key(JOBS_RESULTS_PREFIX, head->id, piece - 1);
 
     g_strlcpy(read->id, head->id, sizeof(read->id));
     read->position = position;
-    read->piece = jobs_head_find_piece(head, position);
-    read->piece_start = jobs_head_piece_start(head, read->piece);
-    read->keeps_all =
-        !jobs_head_is_open(head) && head->n_result_pieces <= MAX_KEPT_PIECES;
     read->callback = callback;
+    read->out.first = jobs_head_piece_start(head, piece);
     read->out.results = g_ptr_array_new_with_free_func(jobs_result_free);
-    send_first_page(jobs, read);
+    send_page(jobs, read, after);
+    g_free(after);
 }
