Send the rest of a request when the server takes more

Cause: since the next event to write is requested while the last one is handled, and libwebsockets clears it afterwards for sockets that it only polls. A trace of the system calls shows one part written and then a poll without POLLOUT.

Change: a timer that is due at once requests the next event.

--- a/packages/backends/backends_private.h
+++ b/packages/backends/backends_private.h
@@ -38,6 +38,7 @@
     size_t body_size;
     size_t n_written;     /* bytes of head and body */
     bool is_write_broken; /* the connection takes no more of the request */
+    lws_sorted_usec_list_t write_timer; /* requests the next event to write */
     char *request_id;
     char *id_header;
     char *refusal_header; /* NULL: x-ran: no */
--- a/packages/backends/call.c
+++ b/packages/backends/call.c
@@ -104,6 +104,7 @@
     };
 
     lws_sul_cancel(&call->timer);
+    lws_sul_cancel(&call->write_timer);
     if (call->wsi != NULL) {
         lws_set_opaque_user_data(call->wsi, NULL);
         lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
--- a/packages/backends/connection.c
+++ b/packages/backends/connection.c
@@ -96,6 +96,15 @@
     return n_parts;
 }
 
+static void
+on_write_timer(lws_sorted_usec_list_t *timer)
+{
+    struct backends_call *call =
+        lws_container_of(timer, struct backends_call, write_timer);
+
+    lws_callback_on_writable(call->wsi);
+}
+
 /* Writes as much of the request as the connection takes.  If it takes none any
  * more, a response may still be read. */
 static void
@@ -111,7 +120,10 @@
             continue;
         }
         if (n < 0 && errno == EAGAIN) {
-            lws_callback_on_writable(call->wsi);
+            /* libwebsockets forgets a request for the next event that is made
+             * during this one. */
+            lws_sul_schedule(call->owner->lws, 0, &call->write_timer,
+                             on_write_timer, 1);
             return;
         }
         if (n < 0) {
@@ -364,6 +376,7 @@
 on_closed(struct backends_call *call)
 {
     lws_set_opaque_user_data(call->wsi, NULL);
+    lws_sul_cancel(&call->write_timer);
     call->wsi = NULL;
     if (check_connected(call) && read_response(call, INT_MAX, true)) {
         end_response(call, true);
--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -440,6 +440,34 @@
     }
 }
 
+/* Guards against a request that is never sent whole because its server takes
+ * it more slowly than it is written. */
+TEST_F(Backends, ALongRequestArrivesAtASlowServer)
+{
+    const std::string body(8000000, 'x');
+    struct test_server server(
+        [&](int fd, const std::string &) {
+            std::string buffer(65536, '\0');
+            size_t n_read = 0;
+            while (n_read < body.size()) {
+                ssize_t n = recv(fd, &buffer[0], buffer.size(), 0);
+                if (n <= 0) {
+                    return;
+                }
+                n_read += (size_t)n;
+                g_usleep(1000);
+            }
+            test_write(fd, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+        },
+        false);
+    struct record record = {};
+    struct backends_request request = request_to(server.port);
+    request.body = body.data();
+    request.body_size = body.size();
+    run(request, &record);
+    EXPECT_TRUE(record.result.is_complete) << record.result.err.text;
+}
+
 /* A refused connection proves that the server did not run the request. */
 TEST_F(Backends, RefusedConnectionIsNotRun)
 {
