Use one HTTP client for servers and for the store

Not seen with the platform's own store.

Calls to the store went through libwebsockets' HTTP client, which cuts request lines at 2 KB, parses heads of 4 KB and reads no such chunks.

Change: packages/httpc has the connection and the parser that backends had; backends and platform use it. The library only waits for events.

--- a/packages/backends/backends.c
+++ b/packages/backends/backends.c
@@ -7,14 +7,14 @@
     /* libwebsockets' own time limits would end long requests, so they are set
      * far beyond the limits of the calls' timers. */
     LIBRARY_TIMEOUT_S = 24 * 3600,
-    SERVICE_BUFFER_SIZE = BACKENDS_READ_SIZE,
+    SERVICE_BUFFER_SIZE = HTTPC_READ_SIZE,
     /* libwebsockets scans its whole table of descriptors for each connection,
      * so a larger table makes every connection slower. */
     FD_LIMIT = 4096,
 };
 
 static const struct lws_protocols PROTOCOLS[] = {
-    {"backends", backends_connection_event, 0, 0, 0, NULL, 0},
+    {"backends", httpc_on_event, 0, 0, 0, NULL, 0},
     {NULL, NULL, 0, 0, 0, NULL, 0},
 };
 
@@ -44,20 +44,25 @@
         .timeout_secs = LIBRARY_TIMEOUT_S,
         .connect_timeout_secs = LIBRARY_TIMEOUT_S,
     };
+    struct lws_vhost *vhost;
 
     memset(backends, 0, sizeof(*backends));
     backends->lws = desc->context;
     backends->counters = desc->counters;
-    backends->source = g_strdup(desc->source);
-    backends->vhost = lws_create_vhost(desc->context, &info);
-    if (backends->vhost == NULL) {
+    vhost = lws_create_vhost(desc->context, &info);
+    if (vhost == NULL) {
         base_error_set(
             err, BASE_INTERNAL,
             "libwebsockets could not create the vhost for backends");
         return false;
     }
     base_table_init(&backends->calls, sizeof(struct backends_call *));
-    backends->read_buffer = g_malloc(LWS_PRE + BACKENDS_READ_SIZE);
+    httpc_init(&backends->httpc, &(struct httpc_desc){
+                                     .context = desc->context,
+                                     .vhost = vhost,
+                                     .protocol = "backends",
+                                     .source = desc->source,
+                                 });
     return true;
 }
 
@@ -73,9 +78,7 @@
         backends_cancel(backends, handle);
     }
     base_table_finish(&backends->calls);
-    g_free(backends->source);
-    g_free(backends->read_buffer);
-    backends->read_buffer = NULL;
+    httpc_finish(&backends->httpc);
 }
 
 /* Returns which part of a request would not be sent as it is, and so could be
@@ -160,11 +163,11 @@
 {
     struct backends_call *call = backends_call_find(backends, handle);
 
-    if (call == NULL || call->is_paused || call->wsi == NULL) {
+    if (call == NULL || call->is_paused) {
         return;
     }
     call->is_paused = true;
-    lws_rx_flow_control(call->wsi, 0);
+    httpc_pause(call->connection);
 }
 
 /* Continues reading.  The silence limit starts again. */
@@ -173,13 +176,13 @@
 {
     struct backends_call *call = backends_call_find(backends, handle);
 
-    if (call == NULL || !call->is_paused || call->wsi == NULL) {
+    if (call == NULL || !call->is_paused) {
         return;
     }
     call->is_paused = false;
     call->limit_since_ms = base_clock_ms();
     backends_call_schedule(call, call->limit_since_ms);
-    lws_rx_flow_control(call->wsi, 1);
+    httpc_resume(call->connection);
 }
 
 /* Changes the silence limit of a running call. */
@@ -203,6 +206,5 @@
 {
     const struct backends_call *call = backends_call_find(backends, handle);
 
-    return call == NULL ? NULL
-                        : backends_response_header(call->response, name);
+    return call == NULL ? NULL : httpc_header(call->connection, name);
 }
--- a/packages/backends/backends.h
+++ b/packages/backends/backends.h
@@ -32,10 +32,7 @@
 #define CARDAMOM_BACKENDS_H
 
 #include "base/base.h"
-
-struct lws_context;
-struct lws_context_creation_info;
-struct lws_vhost;
+#include "httpc/httpc.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -95,11 +92,9 @@
 
 struct backends {
     struct lws_context *lws;
-    char *source;
-    struct lws_vhost *vhost;
+    struct httpc httpc;
     struct base_table calls; /* of struct backends_call * */
     struct base_counters *counters;
-    char *read_buffer;
 };
 
 /* The largest HTTP head that libwebsockets parses, in bytes. */
--- a/packages/backends/call.c
+++ b/packages/backends/call.c
@@ -31,9 +31,6 @@
     *slot = call;
     call->ops = request->ops;
     call->context = request->context;
-    call->fd = -1;
-    call->body = g_memdup2(request->body, request->body_size);
-    call->body_size = request->body_size;
     call->request_id = g_strdup(request->request_id);
     call->id_header =
         g_strdup(request->id_header ? request->id_header : "x-request-id");
@@ -48,17 +45,9 @@
     return call;
 }
 
-/* Frees a call that has ended. */
-void
-backends_call_free(struct backends_call *call)
+static void
+free_call(struct backends_call *call)
 {
-    g_free(call->body);
-    if (call->head != NULL) {
-        g_string_free(call->head, TRUE);
-    }
-    if (call->response != NULL) {
-        backends_response_free(call->response);
-    }
     g_free(call->request_id);
     g_free(call->id_header);
     g_free(call->refusal_header);
@@ -89,10 +78,7 @@
     return BASE_RAN;
 }
 
-/* Ends the call: closes its connection, calls `done` and frees the call; while
- * the parser runs, its caller frees it.
- * libwebsockets closes the connection asynchronously, so the pointer from the
- * connection to the call is removed first. */
+/* Ends the call: closes its connection, calls `done` and frees the call. */
 void
 backends_call_end(struct backends_call *call)
 {
@@ -104,17 +90,12 @@
     };
 
     lws_sul_cancel(&call->timer);
-    lws_sul_cancel(&call->write_timer);
-    if (call->wsi != NULL) {
-        lws_set_opaque_user_data(call->wsi, NULL);
-        lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    if (call->connection != NULL) {
+        httpc_close(call->connection);
     }
     base_table_remove(&call->owner->calls, call->handle);
-    call->is_ended = true;
     call->ops->done(call->context, &result);
-    if (!call->is_parsing) {
-        backends_call_free(call);
-    }
+    free_call(call);
 }
 
 /* Enters a phase and starts its time limit. */
@@ -177,10 +158,6 @@
         lws_container_of(timer, struct backends_call, timer);
     int64_t now_ms = base_clock_ms();
 
-    if (call->is_failed) {
-        backends_call_end(call);
-        return;
-    }
     if (now_ms < find_due_ms(call)) {
         backends_call_schedule(call, now_ms);
         return;
@@ -208,11 +185,3 @@
     lws_sul_schedule(call->owner->lws, 0, &call->timer, check_limits,
                      wait_ms * LWS_US_PER_MS + 1);
 }
-
-/* Ends a failed call from the event loop, so that `done` is not called inside
- * backends_send. */
-void
-backends_call_end_soon(struct backends_call *call)
-{
-    lws_sul_schedule(call->owner->lws, 0, &call->timer, check_limits, 1);
-}
--- a/packages/backends/fuzz_backends.c
+++ b/packages/httpc/fuzz_httpc.c
@@ -4,14 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "backends/response.h"
+#include "httpc/response.h"
 #include "base/http_text.h"
 
 struct seen {
     int n_heads;
     int status;
     GString *body;
-    enum backends_response_result result;
+    enum httpc_response_result result;
     bool ends_by_close;
 };
 
@@ -47,26 +47,26 @@
 static struct seen
 feed(const char *data, size_t size, size_t step, bool is_head_method)
 {
-    static const struct backends_response_ops OPS = {on_head, on_body};
+    static const struct httpc_response_ops OPS = {on_head, on_body};
     struct seen seen = {.body = g_string_new(NULL)};
-    struct backends_response *response =
-        backends_response_new(&OPS, &seen, is_head_method);
+    struct httpc_response *response =
+        httpc_response_new(&OPS, &seen, is_head_method);
 
-    for (size_t at = 0; at < size && seen.result == BACKENDS_RESPONSE_MORE;
+    for (size_t at = 0; at < size && seen.result == HTTPC_RESPONSE_MORE;
          at += step) {
         seen.result =
-            backends_response_feed(response, data + at, MIN(step, size - at));
+            httpc_response_feed(response, data + at, MIN(step, size - at));
     }
-    if (seen.result == BACKENDS_RESPONSE_BAD) {
-        require(backends_response_error(response) != NULL);
+    if (seen.result == HTTPC_RESPONSE_BAD) {
+        require(httpc_response_error(response) != NULL);
     }
     if (seen.n_heads == 1) {
-        const char *type = backends_response_header(response, "content-type");
+        const char *type = httpc_response_header(response, "content-type");
         require(type == NULL || base_http_is_value(type));
     }
-    require(backends_response_has_head(response) == (seen.n_heads == 1));
-    seen.ends_by_close = backends_response_ends_by_close(response);
-    backends_response_free(response);
+    require(httpc_response_has_head(response) == (seen.n_heads == 1));
+    seen.ends_by_close = httpc_response_ends_by_close(response);
+    httpc_response_free(response);
     return seen;
 }
 
@@ -92,7 +92,7 @@
     require(whole.result == pieces.result);
     require(whole.n_heads == pieces.n_heads && whole.status == pieces.status);
     require(whole.ends_by_close == pieces.ends_by_close);
-    require(whole.result == BACKENDS_RESPONSE_BAD ||
+    require(whole.result == HTTPC_RESPONSE_BAD ||
             g_string_equal(whole.body, pieces.body));
     g_string_free(whole.body, TRUE);
     g_string_free(pieces.body, TRUE);
--- a/packages/backends/response.c
+++ b/packages/httpc/response.c
@@ -1,13 +1,12 @@
-#include "backends/response.h"
+#include "httpc/response.h"
 
 #include <http_parser.h>
 #include <string.h>
 
 enum {
     STATUS_DIGITS = 3,
-    VERSION_SIZE = 8,         /* of "HTTP/1.1" */
-    FIRST_BYTES = 32,         /* kept to check the status line */
-    MAX_FIELDS_BYTES = 65535, /* of the head */
+    VERSION_SIZE = 8, /* of "HTTP/1.1" */
+    FIRST_BYTES = 32, /* kept to check the status line */
     /* Calls of feed in a row without a byte of a body.  Framing takes a few,
      * if it arrives byte by byte. */
     MAX_EMPTY_FEEDS = 256,
@@ -15,8 +14,8 @@
     STATUS_NOT_MODIFIED = 304,
 };
 
-struct backends_response {
-    const struct backends_response_ops *ops;
+struct httpc_response {
+    const struct httpc_response_ops *ops;
     void *context;
     bool is_head_method;
     http_parser parser;
@@ -36,7 +35,7 @@
 /* ---- the head ---- */
 
 static int
-set_error(struct backends_response *response, const char *error)
+set_error(struct httpc_response *response, const char *error)
 {
     response->error = error;
     return -1;
@@ -45,14 +44,14 @@
 /* Appends to the last header name or value; the parser may deliver one in
  * several pieces. */
 static int
-append_text(struct backends_response *response, const char *text, size_t size)
+append_text(struct httpc_response *response, const char *text, size_t size)
 {
     GPtrArray *fields = response->fields;
     char *last = fields->pdata[fields->len - 1];
     size_t length = strlen(last);
 
     response->fields_size += size;
-    if (response->fields_size > MAX_FIELDS_BYTES) {
+    if (response->fields_size > HTTPC_HEAD_SIZE) {
         return set_error(response, "the response's head is too large");
     }
     last = g_realloc(last, length + size + 1);
@@ -65,7 +64,7 @@
 static int
 on_name(http_parser *parser, const char *text, size_t size)
 {
-    struct backends_response *response = parser->data;
+    struct httpc_response *response = parser->data;
 
     if (response->has_head) {
         return 0; /* a trailer; nothing here uses them */
@@ -80,7 +79,7 @@
 static int
 on_value(http_parser *parser, const char *text, size_t size)
 {
-    struct backends_response *response = parser->data;
+    struct httpc_response *response = parser->data;
 
     if (response->has_head) {
         return 0;
@@ -100,7 +99,7 @@
  * the end of the line (RFC 9112, 4).  http_parser takes other numbers up to
  * 999, also with zeros in front.  Returns 0 if there is none. */
 static int
-read_status(const struct backends_response *response)
+read_status(const struct httpc_response *response)
 {
     const char *at = response->first_bytes + VERSION_SIZE;
     int n_digits = 0;
@@ -129,7 +128,7 @@
 static int
 on_head(http_parser *parser)
 {
-    struct backends_response *response = parser->data;
+    struct httpc_response *response = parser->data;
     int status = read_status(response);
     bool has_no_body = response->is_head_method ||
                        status == STATUS_NO_CONTENT ||
@@ -152,7 +151,7 @@
 static int
 on_body(http_parser *parser, const char *data, size_t size)
 {
-    struct backends_response *response = parser->data;
+    struct httpc_response *response = parser->data;
 
     response->n_empty_feeds = 0;
     if (!response->ops->body(response->context, data, size)) {
@@ -166,7 +165,7 @@
 static int
 on_end(http_parser *parser)
 {
-    struct backends_response *response = parser->data;
+    struct httpc_response *response = parser->data;
 
     response->is_complete = true;
     return -1;
@@ -184,11 +183,11 @@
 
 /* Returns a parser, which the caller frees.  is_head_method: the request was
  * HEAD, whose response has no body. */
-struct backends_response *
-backends_response_new(const struct backends_response_ops *ops, void *context,
-                      bool is_head_method)
+struct httpc_response *
+httpc_response_new(const struct httpc_response_ops *ops, void *context,
+                   bool is_head_method)
 {
-    struct backends_response *response = g_new0(struct backends_response, 1);
+    struct httpc_response *response = g_new0(struct httpc_response, 1);
 
     response->ops = ops;
     response->context = context;
@@ -202,14 +201,14 @@
 
 /* Frees the parser; must not be called within its callbacks. */
 void
-backends_response_free(struct backends_response *response)
+httpc_response_free(struct httpc_response *response)
 {
     g_ptr_array_free(response->fields, TRUE);
     g_free(response);
 }
 
 static void
-keep_first_bytes(struct backends_response *response, const char *data,
+keep_first_bytes(struct httpc_response *response, const char *data,
                  size_t size)
 {
     size_t n = MIN(size, FIRST_BYTES - 1 - response->n_first_bytes);
@@ -219,36 +218,35 @@
 }
 
 /* Parses received bytes. */
-enum backends_response_result
-backends_response_feed(struct backends_response *response, const char *data,
-                       size_t size)
+enum httpc_response_result
+httpc_response_feed(struct httpc_response *response, const char *data,
+                    size_t size)
 {
     enum http_errno error;
 
     keep_first_bytes(response, data, size);
     if (++response->n_empty_feeds > MAX_EMPTY_FEEDS) {
         response->error = "the response's framing has no end";
-        return BACKENDS_RESPONSE_BAD;
+        return HTTPC_RESPONSE_BAD;
     }
     http_parser_execute(&response->parser, &SETTINGS, data, size);
     if (response->is_stopped) {
-        return BACKENDS_RESPONSE_STOPPED;
+        return HTTPC_RESPONSE_STOPPED;
     }
     if (response->is_complete) {
-        return BACKENDS_RESPONSE_COMPLETE;
+        return HTTPC_RESPONSE_COMPLETE;
     }
     error = HTTP_PARSER_ERRNO(&response->parser);
     if (error == HPE_OK && response->parser.upgrade) {
         response->error = "the server changes the protocol";
-        return BACKENDS_RESPONSE_BAD;
+        return HTTPC_RESPONSE_BAD;
     }
-    return error == HPE_OK ? BACKENDS_RESPONSE_MORE : BACKENDS_RESPONSE_BAD;
+    return error == HPE_OK ? HTTPC_RESPONSE_MORE : HTTPC_RESPONSE_BAD;
 }
 
 /* Returns a header of the response, or NULL.  `name` is in lower case. */
 const char *
-backends_response_header(const struct backends_response *response,
-                         const char *name)
+httpc_response_header(const struct httpc_response *response, const char *name)
 {
     const GPtrArray *fields = response->fields;
 
@@ -262,7 +260,7 @@
 
 /* Returns whether the head was parsed. */
 bool
-backends_response_has_head(const struct backends_response *response)
+httpc_response_has_head(const struct httpc_response *response)
 {
     return response->has_head;
 }
@@ -270,15 +268,15 @@
 /* Returns whether the response has neither a length nor chunks, so that its
  * end is that of the connection. */
 bool
-backends_response_ends_by_close(const struct backends_response *response)
+httpc_response_ends_by_close(const struct httpc_response *response)
 {
     return response->ends_by_close;
 }
 
-/* Returns why the last call of backends_response_feed returned
- * BACKENDS_RESPONSE_BAD. */
+/* Returns why the last call of httpc_response_feed returned
+ * HTTPC_RESPONSE_BAD. */
 const char *
-backends_response_error(const struct backends_response *response)
+httpc_response_error(const struct httpc_response *response)
 {
     return response->error != NULL
                ? response->error
--- a/packages/backends/test_response.cc
+++ b/packages/httpc/test_response.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 extern "C" {
-#include "backends/response.h"
+#include "httpc/response.h"
 }
 
 namespace {
@@ -30,7 +30,7 @@
     return true;
 }
 
-const struct backends_response_ops OPS = {on_head, on_body};
+const struct httpc_response_ops OPS = {on_head, on_body};
 
 /* Guards against responses that are read otherwise than their standard says,
  * also when they arrive in two parts, at any place. */
@@ -40,61 +40,61 @@
         const char *name;
         const char *text;
         bool is_head_method;
-        enum backends_response_result result;
+        enum httpc_response_result result;
         bool ends_by_close;
         const char *body;
     } cases[] = {
         {"a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false,
-         BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"HTTP/1.0", "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nab", false,
-         BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"bytes after it",
          "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nabHTTP/1.1 200 OK",
-         false, BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"cut off", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nab", false,
-         BACKENDS_RESPONSE_MORE, false, "ab"},
+         HTTPC_RESPONSE_MORE, false, "ab"},
         {"chunks in capitals",
          "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked\r\n\r\n"
          "2\r\nab\r\n0\r\n\r\n",
-         false, BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"a chunk extension",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
          "2;name=value\r\nab\r\n0;last\r\n\r\n",
-         false, BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"trailers",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
          "2\r\nab\r\n0\r\nx-sum: 1\r\nx-id: other\r\n\r\n",
-         false, BACKENDS_RESPONSE_COMPLETE, false, "ab"},
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"no last chunk",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
-         false, BACKENDS_RESPONSE_MORE, false, "ab"},
+         false, HTTPC_RESPONSE_MORE, false, "ab"},
         {"a chunk's size that is none",
          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2x\r\nab\r\n",
-         false, BACKENDS_RESPONSE_BAD, false, ""},
-        {"neither", "HTTP/1.1 200 OK\r\n\r\nab", false, BACKENDS_RESPONSE_MORE,
+         false, HTTPC_RESPONSE_BAD, false, ""},
+        {"neither", "HTTP/1.1 200 OK\r\n\r\nab", false, HTTPC_RESPONSE_MORE,
          true, "ab"},
         {"both",
          "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
          "transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
-         false, BACKENDS_RESPONSE_BAD, false, ""},
+         false, HTTPC_RESPONSE_BAD, false, ""},
         {"two lengths",
          "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nab",
-         false, BACKENDS_RESPONSE_BAD, false, ""},
+         false, HTTPC_RESPONSE_BAD, false, ""},
         {"HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", true,
-         BACKENDS_RESPONSE_COMPLETE, false, ""},
+         HTTPC_RESPONSE_COMPLETE, false, ""},
         {"HEAD without a length", "HTTP/1.1 200 OK\r\n\r\n", true,
-         BACKENDS_RESPONSE_COMPLETE, false, ""},
+         HTTPC_RESPONSE_COMPLETE, false, ""},
         {"204", "HTTP/1.1 204 No Content\r\n\r\n", false,
-         BACKENDS_RESPONSE_COMPLETE, false, ""},
+         HTTPC_RESPONSE_COMPLETE, false, ""},
         {"304 with a length",
          "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n", false,
-         BACKENDS_RESPONSE_COMPLETE, false, ""},
+         HTTPC_RESPONSE_COMPLETE, false, ""},
         {"a change of protocol",
          "HTTP/1.1 200 OK\r\nconnection: upgrade\r\nupgrade: x\r\n"
          "content-length: 0\r\n\r\n",
-         false, BACKENDS_RESPONSE_COMPLETE, false, ""},
-        {"no HTTP", "tere tulemast\r\n\r\n", false, BACKENDS_RESPONSE_BAD,
-         false, ""},
+         false, HTTPC_RESPONSE_COMPLETE, false, ""},
+        {"no HTTP", "tere tulemast\r\n\r\n", false, HTTPC_RESPONSE_BAD, false,
+         ""},
     };
 
     for (const auto &row : cases) {
@@ -103,21 +103,21 @@
             SCOPED_TRACE(std::string(row.name) + ", cut at " +
                          std::to_string(cut));
             struct record record;
-            struct backends_response *response =
-                backends_response_new(&OPS, &record, row.is_head_method);
-            enum backends_response_result result =
-                backends_response_feed(response, text.data(), cut);
-            if (result == BACKENDS_RESPONSE_MORE && cut < text.size()) {
-                result = backends_response_feed(response, text.data() + cut,
-                                                text.size() - cut);
+            struct httpc_response *response =
+                httpc_response_new(&OPS, &record, row.is_head_method);
+            enum httpc_response_result result =
+                httpc_response_feed(response, text.data(), cut);
+            if (result == HTTPC_RESPONSE_MORE && cut < text.size()) {
+                result = httpc_response_feed(response, text.data() + cut,
+                                             text.size() - cut);
             }
             ASSERT_EQ(result, row.result);
             EXPECT_EQ(record.body, row.body);
-            EXPECT_EQ(backends_response_ends_by_close(response),
+            EXPECT_EQ(httpc_response_ends_by_close(response),
                       row.ends_by_close);
-            EXPECT_EQ(backends_response_header(response, "x-id"), nullptr)
+            EXPECT_EQ(httpc_response_header(response, "x-id"), nullptr)
                 << "a trailer is no header";
-            backends_response_free(response);
+            httpc_response_free(response);
         }
     }
 }
@@ -129,16 +129,15 @@
                              " \r\nX-SEAL: second\r\nx-empty:\r\n"
                              "content-length: 0\r\n\r\n";
     struct record record;
-    struct backends_response *response =
-        backends_response_new(&OPS, &record, false);
+    struct httpc_response *response = httpc_response_new(&OPS, &record, false);
 
-    EXPECT_EQ(backends_response_feed(response, text.data(), text.size()),
-              BACKENDS_RESPONSE_COMPLETE);
+    EXPECT_EQ(httpc_response_feed(response, text.data(), text.size()),
+              HTTPC_RESPONSE_COMPLETE);
     EXPECT_EQ(record.status, 200);
-    EXPECT_TRUE(backends_response_header(response, "x-seal") == seal);
-    EXPECT_STREQ(backends_response_header(response, "x-empty"), "");
-    EXPECT_EQ(backends_response_header(response, "x-none"), nullptr);
-    backends_response_free(response);
+    EXPECT_TRUE(httpc_response_header(response, "x-seal") == seal);
+    EXPECT_STREQ(httpc_response_header(response, "x-empty"), "");
+    EXPECT_EQ(httpc_response_header(response, "x-none"), nullptr);
+    httpc_response_free(response);
 }
 
 } // namespace
--- a/packages/platform/http.c
+++ b/packages/platform/http.c
@@ -1,13 +1,10 @@
 #include "platform/http.h"
 
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 
 enum {
     CONNECTIONS = 64,
-    WRITE_BYTES = 16384,
-    READ_BYTES = 16384,
+    FIRST_FINAL_STATUS = 200,
     /* A larger one would hide how much of a body the other side has taken. */
     SEND_BUFFER_BYTES = 131072,
     /* Long enough that libwebsockets does not end a long poll; each call has
@@ -15,15 +12,15 @@
     LIBRARY_TIMEOUT_S = 24 * 3600,
 };
 
+#define PROTOCOL "platform"
+
 struct platform_http_call {
     struct platform_http *http;
     const struct platform_http_ops *ops;
     void *context;
     lws_sorted_usec_list_t timer;
-    struct lws *wsi;
+    struct httpc_connection *connection; /* NULL: ended */
     int64_t timeout_ms;
-    GString *request_body; /* NULL: none */
-    size_t n_written;
     size_t n_since_progress; /* bytes of bodies since the timer was set */
     GString *response_body;
     struct platform_http_result result;
@@ -32,26 +29,18 @@
 static void
 free_call(struct platform_http_call *call)
 {
-    if (call->request_body != NULL) {
-        g_string_free(call->request_body, TRUE);
-    }
     g_string_free(call->response_body, TRUE);
     g_free(call);
 }
 
-/* Detaches the call from its connection, which libwebsockets closes in the
- * next iteration of the event loop. */
 static void
 close_connection(struct platform_http_call *call)
 {
     lws_sul_cancel(&call->timer);
-    if (call->wsi == NULL) {
-        return;
+    if (call->connection != NULL) {
+        httpc_close(call->connection);
+        call->connection = NULL;
     }
-    lws_set_opaque_user_data(call->wsi, NULL);
-    lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_REASON_BASE,
-                    LWS_TO_KILL_ASYNC);
-    call->wsi = NULL;
 }
 
 static void
@@ -72,10 +61,8 @@
 static void
 finish_call(struct platform_http_call *call)
 {
-    struct lws_context *lws = call->http->lws;
-
     close_connection(call);
-    lws_sul_schedule(lws, 0, &call->timer, report_done, 1);
+    lws_sul_schedule(call->http->lws, 0, &call->timer, report_done, 1);
 }
 
 static void
@@ -101,157 +88,84 @@
     arm_timeout(call);
 }
 
-static void
-limit_send_buffer(struct lws *wsi)
-{
-    int size = SEND_BUFFER_BYTES;
+/* ---- events of the connection ---- */
 
-    if (setsockopt(lws_get_socket_fd(wsi), SOL_SOCKET, SO_SNDBUF, &size,
-                   sizeof(size)) < 0) {
-        base_log(BASE_LOG_DEBUG, "kv.send_buffer", "error=\"%s\"",
-                 g_strerror(errno));
-    }
-}
-
-static int
-append_headers(struct platform_http_call *call, struct lws *wsi,
-               unsigned char **at, size_t room)
+static void
+on_connected(void *owner)
 {
-    static const char TYPE[] = "application/json";
-    unsigned char *end = *at + room;
-    char length[24];
+    struct platform_http_call *call = owner;
 
     call->result.is_sent = true;
-    if (call->request_body == NULL) {
-        return 0;
-    }
-    int size =
-        snprintf(length, sizeof(length), "%zu", call->request_body->len);
-    if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE,
-                                     (const unsigned char *)TYPE,
-                                     (int)strlen(TYPE), at, end) ||
-        lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-                                     (const unsigned char *)length, size, at,
-                                     end)) {
-        return -1;
-    }
-    limit_send_buffer(wsi);
-    lws_client_http_body_pending(wsi, 1);
-    lws_callback_on_writable(wsi);
-    return 0;
 }
 
-static int
-write_body(struct platform_http_call *call, struct lws *wsi)
+static void
+on_written(void *owner, size_t n_bytes)
 {
-    unsigned char buffer[LWS_PRE + WRITE_BYTES];
-
-    if (call->request_body == NULL ||
-        call->n_written == call->request_body->len) {
-        return 0;
-    }
-    size_t left = call->request_body->len - call->n_written;
-    size_t size = MIN(left, (size_t)WRITE_BYTES);
-    bool is_last = size == left;
-    memcpy(buffer + LWS_PRE, call->request_body->str + call->n_written, size);
-    if (is_last) {
-        lws_client_http_body_pending(wsi, 0);
-    }
-    if (lws_write(wsi, buffer + LWS_PRE, size,
-                  is_last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0) {
-        return -1;
-    }
-    call->n_written += size;
-    record_transfer(call, size, false);
-    if (!is_last) {
-        lws_callback_on_writable(wsi);
-    }
-    return 0;
+    record_transfer(owner, n_bytes, false);
 }
 
 static void
-read_response_head(struct platform_http_call *call, struct lws *wsi)
+on_head(void *owner, int status)
 {
-    char value[16];
+    struct platform_http_call *call = owner;
+    const char *retry_after = httpc_header(call->connection, "retry-after");
 
-    call->result.status = (int)lws_http_client_http_response(wsi);
-    if (lws_hdr_copy(wsi, value, sizeof(value), WSI_TOKEN_HTTP_RETRY_AFTER) >
-        0) {
-        call->result.retry_after_s = (int)g_ascii_strtoll(value, NULL, 10);
+    if (status < FIRST_FINAL_STATUS) {
+        base_log(BASE_LOG_WARNING, "kv.bad_status", "status=%d", status);
+        finish_call(call);
+        return;
+    }
+    call->result.status = status;
+    if (retry_after != NULL) {
+        call->result.retry_after_s =
+            (int)CLAMP(g_ascii_strtoll(retry_after, NULL, 10), 0, INT_MAX);
     }
 }
 
-/* Reads from the connection; libwebsockets passes the bytes of the body to
- * LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ. */
-static int
-read_body(struct lws *wsi)
+static void
+on_body(void *owner, const char *data, size_t size)
 {
-    char buffer[LWS_PRE + READ_BYTES];
-    char *at = buffer + LWS_PRE;
-    int room = READ_BYTES;
-
-    return lws_http_client_read(wsi, &at, &room) < 0 ? -1 : 0;
-}
+    struct platform_http_call *call = owner;
 
-static int
-receive_body(struct platform_http_call *call, const char *data, size_t size)
-{
     if (call->ops->data != NULL && call->result.status == 200) {
         arm_timeout(call);
         call->ops->data(call->context, data, size);
-        return 0;
+        return;
     }
     if (call->response_body->len + size > call->http->max_response_bytes) {
         base_log(BASE_LOG_WARNING, "kv.response_too_large",
                  "status=%d limit=%zu", call->result.status,
                  call->http->max_response_bytes);
-        return -1;
+        finish_call(call);
+        return;
     }
     g_string_append_len(call->response_body, data, (gssize)size);
     record_transfer(call, size, true);
-    return 0;
 }
 
-static int
-on_event(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-         void *in, size_t size)
+/* A response with neither a length nor chunks is whole when the other side
+ * closes: what was cut off is no valid text, and is refused by its decoder. */
+static void
+on_ended(void *owner, enum httpc_end end, const char *reason)
 {
-    struct platform_http_call *call = lws_get_opaque_user_data(wsi);
-
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        return call == NULL ? -1 : append_headers(call, wsi, in, size);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return call == NULL ? -1 : write_body(call, wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        if (call == NULL) {
-            return -1;
-        }
-        read_response_head(call, wsi);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return call == NULL ? -1 : read_body(wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        return call == NULL ? -1 : receive_body(call, in, size);
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        if (call != NULL) {
-            call->result.is_complete = true;
-            finish_call(call);
-        }
-        return -1;
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-        if (call != NULL) {
-            call->wsi = NULL;
-            lws_set_opaque_user_data(wsi, NULL);
-            finish_call(call);
-        }
-        return 0;
-    default:
-        return 0;
+    struct platform_http_call *call = owner;
+
+    call->result.is_complete = end != HTTPC_BROKEN;
+    if (reason != NULL) {
+        base_log(BASE_LOG_DEBUG, "kv.broken", "status=%d reason=\"%s\"",
+                 call->result.status, reason);
     }
+    finish_call(call);
 }
 
+static const struct httpc_ops OPS = {
+    .connected = on_connected,
+    .written = on_written,
+    .head = on_head,
+    .body = on_body,
+    .ended = on_ended,
+};
+
 static int
 on_loop_event(struct lws *wsi, enum lws_callback_reasons reason, void *user,
               void *in, size_t size)
@@ -263,18 +177,21 @@
         http->woken(http->context);
         return 0;
     }
-    return on_event(wsi, reason, user, in, size);
+    return httpc_on_event(wsi, reason, user, in, size);
 }
 
+/* ---- public functions ---- */
+
 /* Creates the libwebsockets context; http->woken must be set before.  Fails
  * with BASE_INTERNAL. */
 bool
 platform_http_init(struct platform_http *http, struct base_error *err)
 {
     static const struct lws_protocols PROTOCOLS[] = {
-        {"platform", on_loop_event, 0, READ_BYTES, 0, NULL, 0},
+        {PROTOCOL, on_loop_event, 0, 0, 0, NULL, 0},
         {NULL, NULL, 0, 0, 0, NULL, 0}};
     struct lws_context_creation_info info;
+    struct lws_vhost *vhost;
 
     lws_set_log_level(LLL_ERR, NULL);
     memset(&info, 0, sizeof(info));
@@ -284,10 +201,8 @@
     info.uid = (uid_t)-1;
     info.user = http;
     info.timeout_secs = LIBRARY_TIMEOUT_S;
-    info.timeout_secs_ah_idle = LIBRARY_TIMEOUT_S;
     info.connect_timeout_secs = LIBRARY_TIMEOUT_S;
     info.fd_limit_per_thread = CONNECTIONS;
-    info.http_proxy_address = "none:0"; /* ignore $http_proxy */
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
     http->lws = lws_create_context(&info);
     if (http->lws == NULL) {
@@ -295,13 +210,17 @@
                        "cannot create the platform's libwebsockets context");
         return false;
     }
-    http->vhost = lws_create_vhost(http->lws, &info);
-    if (http->vhost == NULL) {
+    vhost = lws_create_vhost(http->lws, &info);
+    if (vhost == NULL) {
         base_error_set(err, BASE_INTERNAL,
                        "cannot create the platform's libwebsockets vhost");
         lws_context_destroy(http->lws);
         return false;
     }
+    httpc_init(&http->httpc, &(struct httpc_desc){.context = http->lws,
+                                                  .vhost = vhost,
+                                                  .protocol = PROTOCOL,
+                                                  .source = http->source});
     return true;
 }
 
@@ -309,44 +228,40 @@
 void
 platform_http_finish(struct platform_http *http)
 {
+    httpc_finish(&http->httpc);
     lws_context_destroy(http->lws);
     http->lws = NULL;
 }
 
+/* Opens the connection of a call. */
 static void
 connect_call(struct platform_http_call *call,
              const struct platform_http_request *request)
 {
-    struct lws_client_connect_info info;
     const char *colon = strrchr(request->address, ':');
+    char *host;
 
     if (colon == NULL) {
         finish_call(call);
         return;
     }
-    char *host =
-        g_strndup(request->address, (gsize)(colon - request->address));
-    memset(&info, 0, sizeof(info));
-    info.context = call->http->lws;
-    info.vhost = call->http->vhost;
-    info.address = host;
-    info.port = (int)g_ascii_strtoll(colon + 1, NULL, 10);
-    info.path = request->path;
-    info.host = request->address;
-    info.method = request->method;
-    info.local_protocol_name = "platform";
-    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    info.opaque_user_data = call;
-    info.iface = call->http->source;
+    host = g_strndup(request->address, (gsize)(colon - request->address));
     arm_timeout(call);
-    struct lws *wsi = lws_client_connect_via_info(&info);
+    call->connection = httpc_open(
+        &call->http->httpc,
+        &(struct httpc_request){
+            .ops = &OPS,
+            .owner = call,
+            .host = host,
+            .port = (int)g_ascii_strtoll(colon + 1, NULL, 10),
+            .method = request->method,
+            .path = request->path,
+            .content_type = "application/json",
+            .body = request->body != NULL ? request->body->str : NULL,
+            .body_size = request->body != NULL ? request->body->len : 0,
+            .send_buffer_bytes = request->body != NULL ? SEND_BUFFER_BYTES : 0,
+        });
     g_free(host);
-    if (wsi == NULL) {
-        finish_call(call);
-    }
-    else if (lws_get_opaque_user_data(wsi) == call) {
-        call->wsi = wsi;
-    }
 }
 
 /* Sends a request and passes the result to ops->done.  Until then the caller
@@ -360,10 +275,12 @@
     call->http = http;
     call->ops = request->ops;
     call->context = request->context;
-    call->request_body = request->body;
     call->timeout_ms = request->timeout_ms;
     call->response_body = g_string_new(NULL);
     connect_call(call, request);
+    if (request->body != NULL) {
+        g_string_free(request->body, TRUE);
+    }
     return call;
 }
 
--- a/packages/platform/http.h
+++ b/packages/platform/http.h
@@ -15,13 +15,12 @@
 #ifndef CARDAMOM_PLATFORM_HTTP_H
 #define CARDAMOM_PLATFORM_HTTP_H
 
-#include <libwebsockets.h>
-
 #include "base/base.h"
+#include "httpc/httpc.h"
 
 struct platform_http {
     struct lws_context *lws;
-    struct lws_vhost *vhost;
+    struct httpc httpc;
     const char *source;        /* local IP address; NULL: any */
     size_t max_response_bytes; /* a call with a larger response fails */
     /* Runs on the task's thread after another thread woke its loop. */
@@ -57,7 +56,7 @@
     const char *address; /* "IP:port" */
     const char *method;
     const char *path;
-    GString *body; /* owned by the call; NULL: none */
+    GString *body; /* freed by platform_http_send; NULL: none */
     /* Longest time without progress: for a stream without data, otherwise
      * without PLATFORM_HTTP_PROGRESS_BYTES.  A small call thus has no longer
      * in all, while a large one may take what its link needs. */
--- a/packages/platform/test_fake_kv.h
+++ b/packages/platform/test_fake_kv.h
@@ -79,6 +79,10 @@
     size_t request_bytes_per_s = 0;
     bool repeats_pages = false; /* sends the first page of a list each time */
     bool is_endless = false;    /* sends bytes until the client closes */
+    /* Header lines of responses; empty: a length. */
+    std::string framing;
+    /* Puts a body into the form that `framing` announces. */
+    std::function<std::string(const std::string &)> frame;
     std::atomic<size_t> longest_response{0}; /* bytes sent of an endless one */
 
     FakeKv()
@@ -234,8 +238,12 @@
     void
     send_response(int fd, int status, const std::string &body)
     {
-        send_text(fd, "HTTP/1.1 " + std::to_string(status) +
-                          " x\r\ncontent-length: " +
+        std::string head = "HTTP/1.1 " + std::to_string(status) + " x\r\n";
+        if (frame) {
+            send_text(fd, head + framing + "\r\n" + frame(body));
+            return;
+        }
+        send_text(fd, head + framing + "content-length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
--- a/packages/platform/test_platform.cc
+++ b/packages/platform/test_platform.cc
@@ -28,7 +28,8 @@
     struct platform_kv *answer = nullptr;
     std::vector<std::string> events;
 
-    explicit Client(std::vector<std::string> addresses)
+    explicit Client(std::vector<std::string> addresses,
+                    const struct platform_dialect *dialect = nullptr)
     {
         static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
         struct base_error err = {BASE_OK, ""};
@@ -43,6 +44,7 @@
         desc.silence_ms = 200;
         desc.calls_per_s = 1000;
         desc.counters = &counters;
+        desc.dialect = dialect;
         base_counters_init(&counters);
         EXPECT_TRUE(base_task_init(&task, "test", &OPS, this, &err));
         platform = platform_start(&desc, &err);
@@ -439,6 +441,57 @@
 }
 
 /* A connection whose other end no longer responds must not stop the watch. */
+std::string
+in_chunk(const std::string &body, const char *extension, const char *trailer)
+{
+    char size[32];
+    snprintf(size, sizeof(size), "%zx", body.size());
+    return std::string(size) + extension + "\r\n" + body + "\r\n0\r\n" +
+           trailer + "\r\n";
+}
+
+/* Guards against responses of the service that are valid HTTP/1.1 and are
+ * never read to their end, so that no node has a configuration. */
+TEST(Platform, ResponsesAreReadHoweverTheyAreFramed)
+{
+    const std::string chunked = "transfer-encoding: chunked\r\n";
+    struct {
+        const char *name;
+        std::string framing;
+        std::function<std::string(const std::string &)> frame;
+    } cases[] = {
+        {"chunks", chunked,
+         [](const std::string &body) { return in_chunk(body, "", ""); }},
+        {"a chunk extension", chunked,
+         [](const std::string &body) { return in_chunk(body, ";a=b", ""); }},
+        {"a trailer", chunked,
+         [](const std::string &body) {
+             return in_chunk(body, "", "x-sum: 1\r\n");
+         }},
+        {"Chunked", "Transfer-Encoding: Chunked\r\n",
+         [](const std::string &body) { return in_chunk(body, "", ""); }},
+        {"neither length nor chunks", "",
+         [](const std::string &body) { return body; }},
+        {"a head of 5 KB", "x-trace: " + std::string(5000, 'a') + "\r\n",
+         nullptr},
+        {"a head of 60 KB", "x-trace: " + std::string(60000, 'a') + "\r\n",
+         nullptr},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        FakeKv fake;
+        fake.framing = row.framing;
+        fake.frame = row.frame;
+        fake.start();
+        Client client({fake.address()});
+        EXPECT_EQ(client.put("/a", "value", PLATFORM_ABSENT)->status,
+                  PLATFORM_OK);
+        EXPECT_EQ(value_of(client.call(platform_kv_new(PLATFORM_GET, "/a"))),
+                  "value");
+    }
+}
+
 TEST(Platform, WatchWithoutDataIsReplacedByANewConnection)
 {
     FakeKv fake;
@@ -715,6 +768,37 @@
 
 const char EMPTY_RESPONSE[] = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
+/* The path of a list whose prefix and last key fill it. */
+std::string
+long_path()
+{
+    return "/list?prefix=" + std::string(30000, 'p');
+}
+
+void
+encode_long_list(const struct platform_kv *,
+                 struct platform_encoded_request *out)
+{
+    out->method = "GET";
+    out->path = g_strdup(long_path().c_str());
+}
+
+/* Guards against a buffer that cuts the request line. */
+TEST(Platform, LongPathsAreSentWhole)
+{
+    static const struct platform_dialect DIALECT = {
+        encode_long_list, decode_list, encode_poll, decode_poll};
+    struct test_server server(
+        [](int fd, const std::string &) { test_write(fd, EMPTY_RESPONSE); });
+    Client client({"127.0.0.1:" + std::to_string(server.port)}, &DIALECT);
+
+    EXPECT_EQ(client.call(platform_kv_new(PLATFORM_LIST, "p"))->status,
+              PLATFORM_OK);
+    std::string arrived = server.requests().at(0);
+    EXPECT_TRUE(arrived.substr(0, arrived.find("\r\n")) ==
+                "GET " + long_path() + " HTTP/1.1");
+}
+
 /* A poll whose connection has gone silent hides changes until its time-out,
  * and all nodes may poll at the same time.  Four seconds after the connections
  * have gone silent, a change must be known within 2,500 ms. */
