Take names as long as those around us are

Names were kept in 64 bytes; a key of the store has up to 200.

Change: one size for the names of servers, operators and regions (192 bytes), one for nodes and zones (160).

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -34,6 +34,14 @@
 extern "C" {
 #endif
 
+/* Sizes of names, with the zero byte.  The shortest limit outside is that of a
+ * site's store, whose keys of 200 bytes have a server's name behind a prefix of
+ * 8, and a node's between a prefix and the number of a process. */
+enum {
+    BASE_NAME_SIZE = 193, /* of a server, an operator or a region */
+    BASE_NODE_NAME_SIZE = 161,
+};
+
 /* ---- clock ---- */
 
 int64_t base_clock_ms(void);
@@ -139,7 +147,7 @@
 struct base_tracer {
     pthread_mutex_t lock;
     FILE *file; /* NULL: spans are dropped */
-    char node[64];
+    char node[BASE_NODE_NAME_SIZE];
 };
 
 bool base_tracer_init(struct base_tracer *tracer, const char *folder,
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -19,7 +19,7 @@
 /* The process has one standard output, hence one log setting. */
 static struct {
     int fd;
-    char node[64];
+    char node[BASE_NODE_NAME_SIZE];
     enum base_log_level least_severe;
     pthread_mutex_t lock;
     int64_t budget;         /* token bucket, in thousandths of a line */
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -49,7 +49,7 @@
     void *context;
     /* request */
     enum batch_op op;
-    char operator_name[64];
+    char operator_name[BASE_NAME_SIZE];
     char id[80];
     char idempotency_key[80];
     char *json_in;
--- a/packages/batch/batch_private.h
+++ b/packages/batch/batch_private.h
@@ -67,7 +67,7 @@
 
 /* The slots that a contract grants to this node on one server. */
 struct batch_pool {
-    char server[64];
+    char server[BASE_NAME_SIZE];
     int index;         /* the server's index in the world; WORLD_NONE: not
                           configured */
     uint64_t contract; /* 0: none */
@@ -105,7 +105,7 @@
     int n_failed_attempts; /* attempts that failed on a server */
     int n_refused_attempts; /* attempts that a server refused without running
                                it */
-    char tried_servers[3][64]; /* servers of unsuccessful attempts */
+    char tried_servers[3][BASE_NAME_SIZE]; /* servers of unsuccessful attempts */
     int n_tried_servers;
     int64_t not_before_ms; /* earliest time of the next attempt */
     /* the current attempt */
--- a/packages/batch/records.h
+++ b/packages/batch/records.h
@@ -21,7 +21,7 @@
 enum {
     BATCH_ID_SIZE = 80,
     BATCH_CLAIM_SIZE = 17,
-    BATCH_NAME_SIZE = 64,
+    BATCH_NAME_SIZE = BASE_NAME_SIZE,
     BATCH_MAX_SHARDS = 32,
 };
 
--- a/packages/bulk/bulk.h
+++ b/packages/bulk/bulk.h
@@ -43,7 +43,7 @@
     void (*answered)(struct bulk_put *put, void *task_state);
     void *context;
     GBytes *bytes;
-    char region[64];
+    char region[BASE_NAME_SIZE];
     bool is_result; /* a result, which may use reserve_bytes; a file may not */
     bool is_ok;
     struct bulk_chunk chunk; /* the chunk stored, if is_ok */
@@ -69,7 +69,7 @@
     void (*answered)(struct bulk_repair *repair, void *task_state);
     void *context;
     struct bulk_chunk chunk;
-    char region[64];
+    char region[BASE_NAME_SIZE];
     bool is_ok;      /* the chunk has as many copies as live nodes allow */
     bool is_changed; /* chunk.holders changed */
     struct base_error err;
--- a/packages/bulk/store.c
+++ b/packages/bulk/store.c
@@ -22,7 +22,7 @@
 struct store_op {
     struct bulk *bulk;
     struct bulk_store_desc desc;
-    char region[64];
+    char region[BASE_NAME_SIZE];
     struct bulk_chunk chunk;
     char existing_zones[BULK_COPIES][MEMBERS_NAME_SIZE];
     int n_existing;        /* live copies of desc.existing */
--- a/packages/contracts/contracts.h
+++ b/packages/contracts/contracts.h
@@ -78,7 +78,7 @@
 
 enum {
     CONTRACTS_HOLDER_SIZE = MEMBERS_NAME_SIZE,
-    CONTRACTS_SERVER_SIZE = 64,
+    CONTRACTS_SERVER_SIZE = BASE_NAME_SIZE,
     CONTRACTS_MAX_AVOIDED = 8,
 };
 
@@ -86,7 +86,7 @@
 struct contracts_admission {
     uint64_t ask_id; /* chosen by the holder, returned in the answer */
     char holder[CONTRACTS_HOLDER_SIZE]; /* the requesting node */
-    char operator_name[64];
+    char operator_name[BASE_NAME_SIZE];
     double weight; /* weight of the operator, for shares under contention */
     enum contracts_class class_;
     int64_t wait_ms; /* longest wait in the queue; 0: answer at once */
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -51,13 +51,13 @@
     /* request */
     /* Name of the server, since an index could mean another one in the
      * configuration of another task.  A grant names the server granted. */
-    char server[64];
+    char server[BASE_NAME_SIZE];
     /* Any server of the same pool may be granted, but not those to avoid,
      * which are hashes of names (base_hash_text with seed 0). */
     bool any_server;
     uint64_t avoid[CONTRACTS_MAX_AVOIDED];
     int n_avoid;
-    char operator_name[64];
+    char operator_name[BASE_NAME_SIZE];
     enum contracts_class class_;
     int64_t wait_ms; /* how long the owner may queue it; 0: answer at once */
     /* Online: a grant after at most this wait is in time; 0: it always is.
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -70,7 +70,7 @@
     CONTROL_N_KINDS,
 };
 
-enum { CONTROL_SERVER_SIZE = 64 };
+enum { CONTROL_SERVER_SIZE = BASE_NAME_SIZE };
 
 /* ---- codec.c ---- */
 
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -122,6 +122,31 @@
     EXPECT_NE(strstr(err.text, "zone"), nullptr);
 }
 
+/* Guards against nodes that do not start, or take each other for one node,
+ * because their names are cut or refused. */
+TEST(Control, NodesWithLongNamesJoin)
+{
+    const std::string name(BASE_NODE_NAME_SIZE - 2, 'n');
+    const std::string zone(BASE_NODE_NAME_SIZE - 1, 'z');
+    struct base_error err = {};
+    struct control_desc desc = {};
+    std::string too_long = name + "12";
+    TestTask task;
+    TestNode one(name + "1", zone, "");
+    TestNode two(name + "2", zone, one.address());
+
+    EXPECT_TRUE(task.until([&] {
+        std::string status = task.read_status(one.control);
+        return status.find(name + "1") != std::string::npos &&
+               status.find(name + "2") != std::string::npos;
+    }));
+    desc.node = too_long.c_str();
+    desc.zone = zone.c_str();
+    desc.control_address = "127.0.0.1:*";
+    EXPECT_EQ(control_start(&desc, &err), nullptr);
+    EXPECT_NE(strstr(err.text, "node"), nullptr);
+}
+
 TEST(Control, ConfigReachesAllNodesAndOlderRevisionsAreIgnored)
 {
     Fleet fleet(4);
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -19,7 +19,7 @@
 
 enum {
     FRONT_ID_SIZE = 80,
-    FRONT_NAME_SIZE = 64,
+    FRONT_NAME_SIZE = BASE_NAME_SIZE,
     /* Bytes waiting to be sent to the caller: above FRONT_HIGH_WATER the
      * source of the response is paused, at FRONT_LOW_WATER it resumes. */
     FRONT_HIGH_WATER = 8192,
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -565,6 +565,22 @@
     }
 }
 
+/* Guards against names of servers that are cut, so that the server takes the
+ * request for one to another. */
+TEST_F(Ingress, ServersWithLongNamesAreUsed)
+{
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = test_header(request, "x-server");
+        serve_stream(fd, request);
+    });
+
+    engine_prefix = std::string(190, 'e');
+    begin({&engine});
+    EXPECT_EQ(ask(post("/a/x", "b")).status, 200);
+    EXPECT_EQ(seen, engine_prefix + "1");
+}
+
 /* Guards against bytes of a body after an answer that has none, which a caller
  * takes for the answer to its next request on the connection. */
 TEST_F(Ingress, AnswersWithoutABodyAreFollowedByTheNextAnswer)
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -137,9 +137,9 @@
      * never forwarded */
     char submission[JOBS_SUBMISSION_SIZE];
     /* JOBS_CHECK */
-    GArray *checks;        /* of struct jobs_check */
-    char region[64];       /* the checks are of this region's jobs */
-    int64_t list_revision; /* see jobs.proto, Call.revision */
+    GArray *checks;              /* of struct jobs_check */
+    char region[BASE_NAME_SIZE]; /* the checks are of this region's jobs */
+    int64_t list_revision;       /* see jobs.proto, Call.revision */
     /* reply */
     enum jobs_status status;
     struct jobs_answer answer;
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -43,7 +43,7 @@
     JOBS_TICK_MS = 50,
     JOBS_WRITE_RETRY_MS = 300, /* after a commit or checkpoint that failed */
     JOBS_MAX_CHECKPOINT_PIECES = 8,
-    JOBS_SERVER_SIZE = 64,
+    JOBS_SERVER_SIZE = BASE_NAME_SIZE,
     /* Pieces of results in one call; a service may return fewer. */
     JOBS_PAGE_PIECES = 16,
 };
@@ -136,7 +136,7 @@
 
 /* The nodes that run the jobs of a region. */
 struct jobs_region {
-    char name[64]; /* empty: no region is known */
+    char name[BASE_NAME_SIZE]; /* empty: no region is known */
     struct jobs_homes nodes;
 };
 
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -33,7 +33,7 @@
 extern "C" {
 #endif
 
-enum { JOBS_RUNNER_SIZE = 96 };
+enum { JOBS_RUNNER_SIZE = MEMBERS_NAME_SIZE + 24 };
 
 #define JOBS_ACTIVE_PREFIX "jobs/a/"
 #define JOBS_HEAD_PREFIX "jobs/a/h/"
--- a/packages/members/members.h
+++ b/packages/members/members.h
@@ -25,7 +25,7 @@
 extern "C" {
 #endif
 
-enum { MEMBERS_NAME_SIZE = 64, MEMBERS_ADDRESS_SIZE = 64 };
+enum { MEMBERS_NAME_SIZE = BASE_NODE_NAME_SIZE, MEMBERS_ADDRESS_SIZE = 64 };
 
 enum members_state {
     MEMBERS_ALIVE,
--- a/packages/notices/notices.h
+++ b/packages/notices/notices.h
@@ -29,7 +29,7 @@
 extern "C" {
 #endif
 
-enum { NOTICES_NAME_SIZE = 64 };
+enum { NOTICES_NAME_SIZE = BASE_NAME_SIZE };
 
 /* A server without a limit takes any number of requests. */
 #define NOTICES_NO_LIMIT ((double)INFINITY)
--- a/packages/world/world.h
+++ b/packages/world/world.h
@@ -26,7 +26,7 @@
 enum {
     WORLD_NONE = -1,
     WORLD_FORMAT = 1,
-    WORLD_OPERATOR_NAME_SIZE = 64, /* with the zero byte */
+    WORLD_OPERATOR_NAME_SIZE = BASE_NAME_SIZE,
 };
 
 struct world_region {
