Pass on the ids of jobs and items in calls uncut

The body of an item was found by the first 79 bytes of its id.

Cause: the id was copied into 80 bytes. The check for cut ids asks whether the path ends with the copy, which an id of repeated letters does.

Change: the id is the rest of the path, and its length is checked.

--- a/packages/front/attempt.c
+++ b/packages/front/attempt.c
@@ -6,10 +6,9 @@
 
 enum {
     FIRST_BYTE_MS = 30000, /* timeout of an engine; hedges start earlier */
-    MAX_PATH = 1024,
-    QUEUE_MARGIN_MS = 20, /* left to respond when queueing ends */
-    FIRST_OUTPUT_MS = 80, /* measured from the grant to the first event */
-    DIRECT_CHOICES = 3,   /* servers tried before queueing at one */
+    QUEUE_MARGIN_MS = 20,  /* left to respond when queueing ends */
+    FIRST_OUTPUT_MS = 80,  /* measured from the grant to the first event */
+    DIRECT_CHOICES = 3,    /* servers tried before queueing at one */
 };
 
 static void request_admission(struct attempt *attempt, int server,
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -250,6 +250,8 @@
 void front_request_tick(struct front_request *request, int64_t now_ms);
 int front_request_writable(struct front_request *request);
 void front_request_pause_body(struct front_request *request, bool is_paused);
+char *front_request_query_copy(const struct front_request *request,
+                               const char *name);
 bool front_request_query(const struct front_request *request, const char *name,
                          char *out, size_t size);
 
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -159,14 +159,34 @@
     return CLAMP(wait_ms, 0, JOBS_MAX_WAIT_MS);
 }
 
+/* Requests the body of an item.  An id that is too long is cut nowhere, since
+ * the rest could be that of another item. */
+static void
+read_input(struct front_request *request, const char *id)
+{
+    char *item = front_request_query_copy(
+        request, request->front->protocol->input_item);
+    struct jobs_request *call;
+
+    if (item != NULL && strlen(item) >= JOBS_ID_SIZE) {
+        front_fail(request, &FRONT_NOT_FOUND, "there is no such item");
+        g_free(item);
+        return;
+    }
+    call = jobs_request_new(JOBS_INPUT, id);
+    g_strlcpy(call->item, item != NULL ? item : "", sizeof(call->item));
+    g_free(item);
+    send_call(request, call);
+}
+
 static void
 run_call(struct front_request *request)
 {
     const struct front_protocol *protocol = request->front->protocol;
-    char id[JOBS_ID_SIZE];
     char text[JOBS_ID_SIZE];
+    const char *id;
     enum front_protocol_call kind =
-        protocol->find_call(request->method, request->path, id, sizeof(id));
+        protocol->find_call(request->method, request->path, &id);
     struct jobs_request *call;
 
     request->class_name = "job";
@@ -175,10 +195,7 @@
         return;
     }
     if (kind == FRONT_CALL_JOB_INPUT) {
-        call = jobs_request_new(JOBS_INPUT, id);
-        front_request_query(request, protocol->input_item, call->item,
-                            sizeof(call->item));
-        send_call(request, call);
+        read_input(request, id);
         return;
     }
     call = jobs_request_new(JOBS_RESULTS, id);
--- a/packages/front/protocol.h
+++ b/packages/front/protocol.h
@@ -56,10 +56,10 @@
                                            ends with NULL */
     int misdirected_status; /* status from a server that is not the expected
                                one */
-    /* Returns the call of a method and path; id receives the part of the path
-     * that follows the call's prefix. */
+    /* Returns the call of a method and path; *id is the part of the path that
+     * follows the call's prefix, or "". */
     enum front_protocol_call (*find_call)(const char *method, const char *path,
-                                          char *id, size_t id_size);
+                                          const char **id);
     /* Reads the prompt's figures from the headers; the callback `header`
      * returns a header's value by name, or NULL. */
     void (*read_prompt)(const char *(*header)(const void *context,
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -530,30 +530,40 @@
     }
 }
 
-/* Copies a query parameter, decoded; returns false when it is not given. */
-bool
-front_request_query(const struct front_request *request, const char *name,
-                    char *out, size_t size)
+/* Returns a copy of a query parameter, decoded, or NULL when it is not
+ * given. */
+char *
+front_request_query_copy(const struct front_request *request, const char *name)
 {
     size_t name_size = strlen(name);
+    char *value = NULL;
     char **parts;
-    bool is_found = false;
 
-    out[0] = '\0';
     if (request->query == NULL) {
-        return false;
+        return NULL;
     }
     parts = g_strsplit(request->query, "&", -1);
-    for (int i = 0; parts[i] != NULL && !is_found; i++) {
+    for (int i = 0; parts[i] != NULL && value == NULL; i++) {
         if (strncmp(parts[i], name, name_size) == 0 &&
             parts[i][name_size] == '=') {
-            char *value =
-                g_uri_unescape_string(parts[i] + name_size + 1, NULL);
-            g_strlcpy(out, value == NULL ? "" : value, size);
-            g_free(value);
-            is_found = true;
+            value = g_uri_unescape_string(parts[i] + name_size + 1, NULL);
+            value = value != NULL ? value : g_strdup("");
         }
     }
     g_strfreev(parts);
+    return value;
+}
+
+/* Copies as much of a query parameter, decoded, as fits; returns false when it
+ * is not given. */
+bool
+front_request_query(const struct front_request *request, const char *name,
+                    char *out, size_t size)
+{
+    char *value = front_request_query_copy(request, name);
+    bool is_found = value != NULL;
+
+    g_strlcpy(out, is_found ? value : "", size);
+    g_free(value);
     return is_found;
 }
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -81,12 +81,11 @@
 }
 
 /* Returns the route of a call about a job; on an error the request has been
- * answered and the result is ANSWERED.  An id that ends before the path does
- * was cut short and could be that of another job. */
+ * answered and the result is ANSWERED. */
 static const struct front_route *
 find_job_call(struct front_request *request, const char *id)
 {
-    if (!base_text_is_storable(id) || !g_str_has_suffix(request->path, id)) {
+    if (!base_text_is_storable(id) || strlen(id) >= JOBS_ID_SIZE) {
         front_fail(request, &FRONT_BAD_REQUEST,
                    "the job's id is too long or is not UTF-8");
         return &ANSWERED;
@@ -170,9 +169,9 @@
 const struct front_route *
 front_protocol_route(struct front_request *request)
 {
-    char id[FRONT_ID_SIZE];
+    const char *id;
     enum front_protocol_call call = request->front->protocol->find_call(
-        request->method, request->path, id, sizeof(id));
+        request->method, request->path, &id);
     const struct front_route *page = find_own_page(request, call);
 
     if (page != NULL) {
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -10,14 +10,20 @@
 namespace {
 
 enum front_protocol_call
-find_call(const char *method, const char *path, char *id, size_t id_size)
+find_call(const char *method, const char *path, const char **id)
 {
+    *id = "";
     if (strcmp(path, "/ready") == 0) {
         return FRONT_CALL_READY;
     }
-    if (strcmp(path, "/job/j") == 0) {
-        g_strlcpy(id, "j", id_size);
-        return FRONT_CALL_JOB_RESULTS;
+    if (strncmp(path, "/job/", 5) == 0) {
+        *id = path + 5;
+        return strcmp(method, "DELETE") == 0 ? FRONT_CALL_JOB_END
+                                             : FRONT_CALL_JOB_RESULTS;
+    }
+    if (strncmp(path, "/item/", 6) == 0) {
+        *id = path + 6;
+        return FRONT_CALL_JOB_INPUT;
     }
     return FRONT_CALL_NONE;
 }
@@ -55,6 +61,8 @@
     protocol.expected_server = "x-server";
     protocol.last_event_id = "last-event-id";
     protocol.wait_ms = "x-wait-ms";
+    protocol.results_after = "after";
+    protocol.input_item = "item";
     protocol.api_key = "x-key";
     protocol.operator_name = "x-operator";
     protocol.refused_not_run = "x-refused";
@@ -720,6 +728,34 @@
     }
 }
 
+/* Guards against a call about one job, or its item, that reaches another job
+ * or item because the id is cut.  No jobs task runs here. */
+TEST_F(Ingress, LongIdsOfJobsAreNotCut)
+{
+    struct test_server engine(serve_stream);
+    struct {
+        const char *method;
+        std::string path;
+        int status;
+    } cases[] = {
+        {"GET", "/job/" + std::string(79, 'a'), 503},
+        {"GET", "/job/" + std::string(80, 'a'), 400},
+        {"DELETE", "/job/" + std::string(80, 'a'), 400},
+        {"GET", "/item/" + std::string(80, 'a') + "?item=b", 400},
+        {"GET", "/item/a?item=" + std::string(79, 'b'), 503},
+        {"GET", "/item/a?item=" + std::string(80, 'b'), 404},
+    };
+
+    begin({&engine});
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.method + (" " + row.path));
+        EXPECT_EQ(ask(std::string(row.method) + " " + row.path +
+                      " HTTP/1.1\r\nhost: h.example\r\n\r\n")
+                      .status,
+                  row.status);
+    }
+}
+
 /* Bytes from 0x80 on are no fault of a request that is only sent on. */
 TEST_F(Ingress, ForwardsOddBytesUnchangedAndRefusesThoseThatSplitARequest)
 {
