--- a/packages/front/auth.c
+++ b/packages/front/auth.c
@@ -60,24 +60,28 @@
     return true;
 }
 
-/* Copies the API key from the request's header.  Returns false if the request
- * has none, or several. */
-static bool
-read_site_key(const struct front_request *request, char *out, size_t size)
+/* Returns a copy of the API key from the request's header, or NULL if the
+ * request has none, or several. */
+static char *
+copy_site_key(const struct front_request *request)
 {
     const char *name = request->front->protocol->api_key;
+    char *key = NULL;
     int n_found = 0;
 
     for (guint i = 0; name != NULL && i + 1 < request->request_headers->len;
          i += 2) {
         if (g_ascii_strcasecmp(request->request_headers->pdata[i], name) ==
             0) {
-            g_strlcpy(out, request->request_headers->pdata[i + 1], size);
-            g_strstrip(out);
+            g_free(key);
+            key = g_strstrip(g_strdup(request->request_headers->pdata[i + 1]));
             n_found++;
         }
     }
-    return n_found == 1 && out[0] != '\0';
+    if (n_found != 1 || key[0] == '\0') {
+        g_clear_pointer(&key, g_free);
+    }
+    return key;
 }
 
 /* Answers a request whose key is missing or unknown. */
@@ -100,18 +104,20 @@
 bool
 front_identify(struct front_request *request, bool is_open)
 {
-    char key[HEADER_SIZE] = "";
-    bool has_key;
     unsigned scopes = 0;
+    bool has_key;
+    char *key;
 
     if (!request->world->has_operators) {
         return true;
     }
-    has_key = read_site_key(request, key, sizeof(key));
+    key = copy_site_key(request);
+    has_key = key != NULL;
     if (has_key) {
         request->operator_index =
             world_find_operator_by_key(request->world, key, &scopes);
     }
+    g_free(key);
     if (request->operator_index != WORLD_NONE) {
         g_strlcpy(request->operator_name,
                   request->world->operators[request->operator_index].name,
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -873,6 +873,38 @@
     }
 }
 
+/* Guards against keys and names of operators that are cut, so that a caller
+ * with a valid key is refused or taken for another. */
+TEST_F(Ingress, LongKeysAndNamesOfOperatorsAreUsedWhole)
+{
+    const std::string name(192, 'o');
+    const std::string key(1500, 'k');
+    std::string seen;
+    struct test_server engine([&](int fd, const std::string &request) {
+        seen = test_header(request, "x-operator");
+        serve_stream(fd, request);
+    });
+    struct {
+        std::string key;
+        int status;
+    } cases[] = {
+        {key, 200},
+        {key + "x", 401},
+        {key.substr(1), 401},
+        {key.substr(0, 511), 401},
+    };
+
+    operators = {{name.c_str(), key.c_str()}};
+    begin({&engine});
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.key.size());
+        seen.clear();
+        EXPECT_EQ(ask(post("/a/x", "b", "x-key: " + row.key + "\r\n")).status,
+                  row.status);
+        EXPECT_EQ(seen, row.status == 200 ? name : "");
+    }
+}
+
 /* Guards against errors that callers take for final, from a node that does not
  * have the newest configuration yet. */
 TEST_F(Ingress, WhatANewerConfigurationMayAllowIsNotRefusedForGood)
