Judge up to 64 parts of a prompt

Of a prompt with more than 16 shared parts only the first 16 were judged, so a later one that crashes servers was never blocked (BUDGET allows three more requests with it). By reading; not seen on a site.

Change: 64, which is 600 bytes or more of the header. A crash of a request with so many parts takes as many records, of 512.

Test: AdapterProtocol.ReadsThePartsOfALongPrompt failed on (16 of 60 parts).

--- a/packages/quarantine/quarantine.h
+++ b/packages/quarantine/quarantine.h
@@ -38,7 +38,7 @@
 #endif
 
 enum {
-    QUARANTINE_MAX_PARTS = 16, /* of one prompt; further ones are ignored */
+    QUARANTINE_MAX_PARTS = 64, /* of one prompt; further ones are ignored */
 };
 
 /* The parts of a prompt that other requests may share, as hashes, and then the
