Skip interim responses of servers and of the store

RFC 9110, 15.2: a client must be able to parse them, asked for or not.

Test: two new rows of Response.IsReadAsTheStandardSays failed before this change; responses of interim ones without end are still cut off (Backends.HeadWithoutEndEndsTheCall).

--- a/packages/httpc/response.c
+++ b/packages/httpc/response.c
@@ -10,6 +10,9 @@
     /* Calls of feed in a row without a byte of a body.  Framing takes a few,
      * if it arrives byte by byte. */
     MAX_EMPTY_FEEDS = 256,
+    MAX_INTERIM = 32, /* interim responses before the final one */
+    FIRST_FINAL_STATUS = 200,
+    STATUS_SWITCHING_PROTOCOLS = 101,
     STATUS_NO_CONTENT = 204,
     STATUS_NOT_MODIFIED = 304,
 };
@@ -28,6 +31,8 @@
     bool ends_by_close;
     bool is_complete;
     bool is_stopped;
+    bool is_interim; /* the head being read is that of an interim response */
+    int n_interim;
     int n_empty_feeds;
     const char *error; /* NULL: http_parser's */
 };
@@ -124,12 +129,10 @@
     }
 }
 
-/* Returns 1 if the response has no body, and -1 to stop. */
 static int
-on_head(http_parser *parser)
+on_final_head(struct httpc_response *response, int status)
 {
-    struct httpc_response *response = parser->data;
-    int status = read_status(response);
+    const http_parser *parser = &response->parser;
     bool has_no_body = response->is_head_method ||
                        status == STATUS_NO_CONTENT ||
                        status == STATUS_NOT_MODIFIED;
@@ -146,6 +149,21 @@
     return has_no_body ? 1 : 0;
 }
 
+/* Returns 1 if the response has no body, and -1 to stop. */
+static int
+on_head(http_parser *parser)
+{
+    struct httpc_response *response = parser->data;
+    int status = read_status(response);
+
+    if (status > 0 && status < FIRST_FINAL_STATUS &&
+        status != STATUS_SWITCHING_PROTOCOLS) {
+        response->is_interim = true;
+        return 1;
+    }
+    return on_final_head(response, status);
+}
+
 /* ---- the body ---- */
 
 static int
@@ -161,12 +179,18 @@
     return 0;
 }
 
-/* Stops the parser: what follows would be another response. */
+/* Stops the parser: what follows would be another response, unless this one
+ * was interim. */
 static int
 on_end(http_parser *parser)
 {
     struct httpc_response *response = parser->data;
 
+    if (response->is_interim) {
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
     response->is_complete = true;
     return -1;
 }
@@ -181,6 +205,13 @@
 
 /* ---- public functions ---- */
 
+static void
+start_parser(struct httpc_response *response)
+{
+    http_parser_init(&response->parser, HTTP_RESPONSE);
+    response->parser.data = response;
+}
+
 /* Returns a parser, which the caller frees.  is_head_method: the request was
  * HEAD, whose response has no body. */
 struct httpc_response *
@@ -194,8 +225,7 @@
     response->is_head_method = is_head_method;
     response->fields = g_ptr_array_new_with_free_func(g_free);
     response->is_in_value = true;
-    http_parser_init(&response->parser, HTTP_RESPONSE);
-    response->parser.data = response;
+    start_parser(response);
     return response;
 }
 
@@ -217,19 +247,49 @@
     response->n_first_bytes += n;
 }
 
-/* Parses received bytes. */
+/* Makes the parser ready for the response after an interim one.  The bytes of
+ * all heads together stay within the limit.  Returns false if there are too
+ * many. */
+static bool
+skip_interim(struct httpc_response *response)
+{
+    if (++response->n_interim > MAX_INTERIM) {
+        response->error = "too many interim responses";
+        return false;
+    }
+    response->is_interim = false;
+    response->is_in_value = true;
+    response->n_first_bytes = 0;
+    memset(response->first_bytes, 0, sizeof(response->first_bytes));
+    g_ptr_array_set_size(response->fields, 0);
+    start_parser(response);
+    return true;
+}
+
+/* Parses received bytes.  Interim responses but a change of the protocol are
+ * skipped (RFC 9110, 15.2). */
 enum httpc_response_result
 httpc_response_feed(struct httpc_response *response, const char *data,
                     size_t size)
 {
     enum http_errno error;
+    size_t n_used;
 
-    keep_first_bytes(response, data, size);
     if (++response->n_empty_feeds > MAX_EMPTY_FEEDS) {
         response->error = "the response's framing has no end";
         return HTTPC_RESPONSE_BAD;
     }
-    http_parser_execute(&response->parser, &SETTINGS, data, size);
+    keep_first_bytes(response, data, size);
+    n_used = http_parser_execute(&response->parser, &SETTINGS, data, size);
+    while (HTTP_PARSER_ERRNO(&response->parser) == HPE_PAUSED) {
+        if (!skip_interim(response)) {
+            return HTTPC_RESPONSE_BAD;
+        }
+        data += n_used;
+        size -= n_used;
+        keep_first_bytes(response, data, size);
+        n_used = http_parser_execute(&response->parser, &SETTINGS, data, size);
+    }
     if (response->is_stopped) {
         return HTTPC_RESPONSE_STOPPED;
     }
--- a/packages/httpc/test_response.cc
+++ b/packages/httpc/test_response.cc
@@ -89,6 +89,20 @@
         {"304 with a length",
          "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n", false,
          HTTPC_RESPONSE_COMPLETE, false, ""},
+        {"an interim response",
+         "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab",
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
+        {"several, one with a connection header",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 x\r\nx-id: 1\r\n"
+         "connection: close\r\n\r\nHTTP/1.1 204 OK\r\n\r\n",
+         false, HTTPC_RESPONSE_COMPLETE, false, ""},
+        {"an interim response alone", "HTTP/1.1 103 Early Hints\r\n\r\n",
+         false, HTTPC_RESPONSE_MORE, false, ""},
+        {"a status that is none after one",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK\r\n"
+         "content-length: 2\r\n\r\nab",
+         false, HTTPC_RESPONSE_COMPLETE, false, "ab"},
         {"a change of protocol",
          "HTTP/1.1 200 OK\r\nconnection: upgrade\r\nupgrade: x\r\n"
          "content-length: 0\r\n\r\n",
