Pass on methods that the parser does not know

They are to be forwarded unchanged.

Change: the front reads the method itself, up to 63 bytes, and gives the parser POST in its place, which it treats as any method with a body.

Test: the row "methods that http_parser does not know" of Http1.Parses- RequestsInPiecesOfAnySize failed before this change.

--- a/packages/base/http_text.c
+++ b/packages/base/http_text.c
@@ -2,6 +2,14 @@
 
 #include <string.h>
 
+/* Returns whether a byte can be part of a token. */
+bool
+base_http_is_token_byte(char byte)
+{
+    return g_ascii_isalnum(byte) ||
+           (byte != '\0' && strchr("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
 /* Returns whether a text is not empty and has only the characters of a
  * token. */
 bool
@@ -9,8 +17,7 @@
 {
     const char *at = text;
 
-    while (g_ascii_isalnum(*at) ||
-           (*at != '\0' && strchr("!#$%&'*+-.^_`|~", *at) != NULL)) {
+    while (base_http_is_token_byte(*at)) {
         at++;
     }
     return at > text && *at == '\0';
--- a/packages/base/http_text.h
+++ b/packages/base/http_text.h
@@ -19,6 +19,7 @@
 #endif
 
 /* A method or the name of a header: RFC 9110, 5.6.2. */
+bool base_http_is_token_byte(char byte);
 bool base_http_is_token(const char *text);
 /* Path and query as they stand in the request line. */
 bool base_http_is_target(const char *text);
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -12,6 +12,7 @@
 
 #include "backends/backends.h"
 #include "front/deadlines.h"
+#include "front/http1.h"
 #include "front/protocol.h"
 #include "front/front.h"
 #include "place/place.h"
@@ -198,7 +199,7 @@
     const char *class_name; /* class name in metrics; NULL: none */
     /* request head */
     char *id; /* as the caller sent it, whatever its size */
-    char method[16];
+    char method[HTTP1_METHOD_SIZE];
     char *path;
     char *query;        /* "a=b&c=d", percent-encoded; may be NULL */
     char *content_type; /* may be NULL */
--- a/packages/front/http1.c
+++ b/packages/front/http1.c
@@ -9,6 +9,11 @@
     const struct http1_ops *ops;
     void *context;
     http_parser parser;
+    /* The method is read here: http_parser knows a fixed list of them.  For
+     * others it gets POST, which it treats as any method with a body. */
+    char method[HTTP1_METHOD_SIZE];
+    size_t method_size;
+    bool is_in_method;
     GString *target;
     GPtrArray *fields;
     bool is_in_value; /* the last header text was a value, not a name */
@@ -131,7 +136,7 @@
 on_head(http_parser *parser)
 {
     struct http1 *http1 = parser->data;
-    size_t size = measure_head(http1, http_method_str(parser->method));
+    size_t size = measure_head(http1, http1->method);
     bool has_length = parser->content_length != UINT64_MAX &&
                       parser->content_length <= INT64_MAX;
 
@@ -140,7 +145,7 @@
         return -1;
     }
     struct http1_head head = {
-        .method = http_method_str(parser->method),
+        .method = http1->method,
         .target = http1->target->str,
         .fields = g_steal_pointer(&http1->fields),
         .size = size,
@@ -195,6 +200,7 @@
     http1->ops = ops;
     http1->context = context;
     http1->target = g_string_new(NULL);
+    http1->is_in_method = true;
     http_parser_init(&http1->parser, HTTP_REQUEST);
     http1->parser.data = http1;
     return http1;
@@ -220,18 +226,76 @@
                : http_errno_description(HTTP_PARSER_ERRNO(&http1->parser));
 }
 
+/* Returns whether http_parser knows a method. */
+static bool
+is_known_method(const char *method)
+{
+    static const char *const NAMES[] = {
+#define NAME(number, name, string) #string,
+        HTTP_METHOD_MAP(NAME)
+#undef NAME
+            NULL,
+    };
+
+    return g_strv_contains(NAMES, method);
+}
+
+static size_t
+execute(struct http1 *http1, const char *data, size_t size)
+{
+    size_t used = http_parser_execute(&http1->parser, &SETTINGS, data, size);
+
+    if (http1->is_in_head) {
+        http1->head_size += used;
+    }
+    return used;
+}
+
+/* Reads the method of a request, and passes it to the parser when its end is
+ * there.  Returns the bytes read; what is no method is left to the parser. */
+static size_t
+read_method(struct http1 *http1, const char *data, size_t size)
+{
+    size_t at = 0;
+
+    while (http1->method_size == 0 && at < size &&
+           (data[at] == '\r' || data[at] == '\n')) {
+        at++; /* blank lines between requests */
+    }
+    while (at < size && http1->method_size < HTTP1_METHOD_SIZE - 1 &&
+           base_http_is_token_byte(data[at])) {
+        http1->method[http1->method_size++] = data[at++];
+    }
+    http1->method[http1->method_size] = '\0';
+    if (at == size) {
+        return at;
+    }
+    http1->is_in_method = false;
+    if (http1->method_size > 0) {
+        const char *method = data[at] != ' ' || is_known_method(http1->method)
+                                 ? http1->method
+                                 : "POST";
+        execute(http1, method, strlen(method));
+    }
+    return at;
+}
+
 /* Parses the next bytes and calls the ops; *used receives the number of bytes
  * parsed. */
 enum http1_result
 http1_feed(struct http1 *http1, const char *data, size_t size, size_t *used)
 {
+    size_t n_method = 0;
     enum http_errno error;
 
-    *used = http_parser_execute(&http1->parser, &SETTINGS, data, size);
-    error = HTTP_PARSER_ERRNO(&http1->parser);
-    if (http1->is_in_head) {
-        http1->head_size += *used;
+    if (http1->is_in_method) {
+        n_method = read_method(http1, data, size);
     }
+    *used = n_method;
+    if (n_method < size) {
+        *used += execute(http1, data + n_method, size - n_method);
+    }
+    error = HTTP_PARSER_ERRNO(&http1->parser);
     switch (error) {
     case HPE_OK:
         return http1->parser.upgrade ? HTTP1_BAD : HTTP1_MORE;
@@ -252,6 +316,8 @@
 http1_next(struct http1 *http1)
 {
     http_parser_pause(&http1->parser, 0);
+    http1->is_in_method = true;
+    http1->method_size = 0;
 }
 
 /* Returns whether a request has ended and http1_next has not been called
@@ -266,6 +332,9 @@
 size_t
 http1_head_size(const struct http1 *http1)
 {
+    if (http1->is_in_method) {
+        return http1->method_size;
+    }
     return http1->is_in_head ? http1->head_size : 0;
 }
 
--- a/packages/front/http1.h
+++ b/packages/front/http1.h
@@ -34,6 +34,8 @@
     void (*end)(void *context);
 };
 
+enum { HTTP1_METHOD_SIZE = 64 }; /* with the zero byte; RFC 9110 names none */
+
 enum http1_result {
     HTTP1_MORE,  /* all bytes were used; the request continues */
     HTTP1_ENDED, /* a request ended; call http1_next before http1_feed */
--- a/packages/front/test_http1.cc
+++ b/packages/front/test_http1.cc
@@ -100,6 +100,19 @@
         {"two different lengths",
          "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
          "", HTTP1_BAD},
+        {"methods that http_parser does not know",
+         "QUERY /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+         "VERSION-CONTROL /b HTTP/1.1\r\n\r\n\r\nget /c HTTP/1.1\r\n\r\n" +
+             std::string(63, 'M') + " /d HTTP/1.1\r\n\r\n",
+         "<QUERY /a Content-Length=1>x;<VERSION-CONTROL /b>;<get /c>;<" +
+             std::string(63, 'M') + " /d>;",
+         HTTP1_ENDED},
+        {"a longer method", std::string(64, 'M') + " /d HTTP/1.1\r\n\r\n", "",
+         HTTP1_BAD},
+        {"no method", " /d HTTP/1.1\r\n\r\n", "", HTTP1_BAD},
+        {"a method that is no token", "GE(T /d HTTP/1.1\r\n\r\n", "",
+         HTTP1_BAD},
+        {"a method alone", "QUERY\r\n\r\n", "", HTTP1_BAD},
         {"bytes from 0x80 on",
          "GET /caf\xe9?\xff HTTP/1.1\r\nA: caf\xe9\r\n\r\n",
          "<GET /caf\xe9?\xff A=caf\xe9>;", HTTP1_ENDED},
