--- a/packages/backends/test_backends.cc
+++ b/packages/backends/test_backends.cc
@@ -440,6 +440,68 @@
     }
 }
 
+/* Guards against valid responses that never end or are taken for others: the
+ * rows of Response.IsReadAsTheStandardSays that a client may get wrong, over a
+ * connection that stays open. */
+TEST_F(Backends, ResponsesAreReadAsTheStandardSays)
+{
+    struct {
+        const char *name;
+        const char *method;
+        const char *response;
+        bool is_complete;
+        const char *body;
+    } cases[] = {
+        {"a length", "POST", "200 OK\r\nContent-Length: 2\r\n\r\nab", true,
+         "ab"},
+        {"chunks in capitals", "POST",
+         "200 OK\r\nTRANSFER-ENCODING: Chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+         true, "ab"},
+        {"a chunk extension", "POST",
+         "200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "2;name=value\r\nab\r\n0;last\r\n\r\n",
+         true, "ab"},
+        {"trailers", "POST",
+         "200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\nx-sum: 1\r\nx-id: other\r\n\r\n",
+         true, "ab"},
+        {"a chunk's size that is none", "POST",
+         "200 OK\r\ntransfer-encoding: chunked\r\n\r\n2x\r\nab\r\n0\r\n\r\n",
+         false, ""},
+        {"both", "POST",
+         "200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n0\r\n\r\n",
+         false, ""},
+        {"two lengths", "POST",
+         "200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nab", false,
+         ""},
+        {"HEAD", "HEAD", "200 OK\r\ncontent-length: 2\r\n\r\n", true, ""},
+        {"HEAD without a length", "HEAD", "200 OK\r\n\r\n", true, ""},
+        {"304 with a length", "POST",
+         "304 Not Modified\r\ncontent-length: 9\r\n\r\n", true, ""},
+        {"an interim response", "POST",
+         "103 Early Hints\r\nlink: x\r\n\r\n"
+         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab",
+         true, "ab"},
+    };
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        struct test_server server([&](int fd, const std::string &) {
+            test_write(fd, std::string("HTTP/1.1 ") + row.response);
+            test_wait_for_close(fd);
+        });
+        struct record record = {};
+        struct backends_request request = request_to(server.port);
+        request.method = row.method;
+        request.first_byte_ms = 500;
+        request.silence_ms = 500;
+        run(request, &record);
+        EXPECT_EQ(record.result.is_complete, row.is_complete)
+            << record.result.err.text;
+        EXPECT_EQ(record.body, row.body);
+    }
+}
+
 /* Guards against a request that is never sent whole because its server takes
  * it more slowly than it is written. */
 TEST_F(Backends, ALongRequestArrivesAtASlowServer)
