--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -35,8 +35,8 @@
 #endif
 
 /* Sizes of names, with the zero byte.  The shortest limit outside is that of a
- * site's store, whose keys of 200 bytes have a server's name behind a prefix of
- * 8, and a node's between a prefix and the number of a process. */
+ * site's store, whose keys of 200 bytes have a server's name behind a prefix
+ * of 8, and a node's between a prefix and the number of a process. */
 enum {
     BASE_NAME_SIZE = 193, /* of a server, an operator or a region */
     BASE_NODE_NAME_SIZE = 161,
--- a/packages/batch/batch_private.h
+++ b/packages/batch/batch_private.h
@@ -105,7 +105,8 @@
     int n_failed_attempts; /* attempts that failed on a server */
     int n_refused_attempts; /* attempts that a server refused without running
                                it */
-    char tried_servers[3][BASE_NAME_SIZE]; /* servers of unsuccessful attempts */
+    /* Servers of unsuccessful attempts. */
+    char tried_servers[3][BASE_NAME_SIZE];
     int n_tried_servers;
     int64_t not_before_ms; /* earliest time of the next attempt */
     /* the current attempt */
