--- a/packages/allowance/allowance.h
+++ b/packages/allowance/allowance.h
@@ -7,7 +7,7 @@
  *
  *     allowance_account_init(&account, instance, random);
  *     allowance_account_set_limit(&account, &limit, &tolerance, now_ms);
- *     allowance_account_set_nodes(&account, n_nodes, now_ms);
+ *     allowance_account_set_nodes(&account, n_nodes, share);
  *     if (allowance_admit(&account, 1, now_ms)) { ... serve the request ... }
  *     if (allowance_due_ms(&account) <= now_ms) {
  *         allowance_report(&account, now_ms, &report);
@@ -28,6 +28,11 @@
  * of the fraction of requests to admit, since most nodes of a large fleet see
  * too few requests of an operator to learn it from answers.
  *
+ * Each answer also tells a part of the rate that the node may admit while no
+ * limiter answers it.  The limiter holds back the parts of nodes that stop
+ * reporting, and its owner sets the share of the nodes that can be reached, so
+ * that the limit holds while nodes are cut off from each other.
+ *
  * The package reads no clock and does no input or output.  It takes no locks;
  * one thread at a time may use an account or a limiter.  Times are in ms on a
  * clock that also advances while a process is stopped.
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -48,8 +48,8 @@
     /* The connection has taken more bytes of the request's body.  May be
      * NULL. */
     void (*written)(void *owner, size_t n_bytes);
-    /* The head of the response is complete.  status: from 100 to 599; 0: not
-     * valid. */
+    /* The head of the final response is complete.  status: 101, or from 200 to
+     * 599; 0: not valid. */
     void (*head)(void *owner, int status);
     void (*body)(void *owner, const char *data, size_t size);
     /* reason: why it is HTTPC_BROKEN, else NULL. */
--- a/packages/httpc/response.h
+++ b/packages/httpc/response.h
@@ -22,7 +22,8 @@
 /* Callbacks, which run within httpc_response_feed; if one returns false,
  * parsing stops. */
 struct httpc_response_ops {
-    /* The head is complete.  status: from 100 to 599; 0: not valid. */
+    /* The head of the final response is complete.  status: 101, or from 200 to
+     * 599; 0: not valid. */
     bool (*head)(void *context, int status);
     bool (*body)(void *context, const char *data, size_t size);
 };
