--- a/review/11/run.py
+++ b/review/11/run.py
@@ -144,6 +144,6 @@
 
 started = time.monotonic()
 with tempfile.TemporaryDirectory() as name:
-    code = asyncio.run(main(pathlib.Path(name)))
+    code = site.run(main(pathlib.Path(name)))
 note(f"exit {code}")
 sys.exit(code)
--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import time
@@ -22,9 +23,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below those that the system gives to outgoing connections: a
+    process that starts again must find its port free."""
+    while True:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 async def read_head(reader):
@@ -353,6 +361,20 @@
         **more})
 
 
+def run(main):
+    """Runs a case to its end; a SIGTERM ends it early, with its processes."""
+    async def guarded():
+        task = asyncio.ensure_future(main)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return 2
+
+    return asyncio.run(guarded())
+
+
 async def start_nodes(store, folder, n_stores=3, n_fronts=2):
     """Starts the machines; returns (nodes, whether the fronts are ready)."""
     controls = [free_port() for _ in range(n_stores + n_fronts)]
