Store a checkpoint only over the one before it

The only condition of a checkpoint was the head's revision, which it doesn't change, so a write that the store did 5.6 s late replaced the first pieces of a newer checkpoint, and the next runner joined pieces of both.

Change: each checkpoint is conditional on the revision of the first piece, which all of them write; a conflict tells the revision for the next one. A reader takes only pieces of one write (one revision, numbers without a gap), so what earlier versions left mixed is dropped and its items start again.

--- a/packages/jobs/checkpoint.c
+++ b/packages/jobs/checkpoint.c
@@ -4,7 +4,12 @@
 
 /* Checkpoints: the partial outputs and failure counts of a job's unfinished
  * items, as stored for the next runner.  A checkpoint is written now and then
- * while items run, and with the release of the job. */
+ * while items run, and with the release of the job.
+ *
+ * The store may do a write seconds late, or again, as long as its conditions
+ * hold.  The head does not change with a checkpoint, so each one is also
+ * conditional on the revision of the first piece, which every checkpoint
+ * writes: an earlier one that is done late has no effect. */
 
 enum {
     /* Between checkpoints of running items.  Longer intervals lose more output
@@ -23,15 +28,70 @@
     run->next_checkpoint_ms = base_clock_ms() + CHECKPOINT_MS;
 }
 
-/* Restores the checkpoint of the previous runner, which has n_pieces stored
- * pieces.  For each item it has a line with the number of events, the id of
- * the last event and the number of failures, and after it the output received
- * so far. */
+/* Decodes the pieces of a checkpoint among entries that are ordered by their
+ * keys.  Only pieces of the same write belong together: one transaction writes
+ * all pieces of a checkpoint, so that they have one revision.  Items whose
+ * output cannot be read start again. */
 void
-jobs_checkpoint_restore(struct jobs_run *run, const GPtrArray *partials,
-                        int n_pieces)
+jobs_checkpoint_read(struct jobs_checkpoint *checkpoint,
+                     const GPtrArray *entries)
 {
-    run->n_checkpoint_pieces = n_pieces;
+    struct base_error err = {0};
+    int n_whole = 0;
+
+    memset(checkpoint, 0, sizeof(*checkpoint));
+    checkpoint->partials = g_ptr_array_new_with_free_func(jobs_result_free);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct platform_entry *entry = entries->pdata[i];
+        int number = jobs_checkpoint_number(entry->key);
+        if (number < 0) {
+            continue;
+        }
+        checkpoint->n_pieces = number + 1;
+        checkpoint->revision =
+            number == 0 ? entry->revision : checkpoint->revision;
+        if (number != n_whole || entry->revision != checkpoint->revision) {
+            base_log(BASE_LOG_WARNING, "jobs.checkpoint_piece_ignored",
+                     "key=%s revision=%" G_GINT64_FORMAT
+                     " first_revision=%" G_GINT64_FORMAT,
+                     entry->key, entry->revision, checkpoint->revision);
+            continue;
+        }
+        if (jobs_results_decode(entry->value, checkpoint->partials, &err)) {
+            n_whole++;
+        }
+        else {
+            base_log_error("jobs.checkpoint_unreadable", &err, "key=%s",
+                           entry->key);
+        }
+    }
+    if (!jobs_results_are_whole(checkpoint->partials)) {
+        g_ptr_array_set_size(checkpoint->partials,
+                             (gint)checkpoint->partials->len - 1);
+    }
+}
+
+/* Frees the contents of a checkpoint that was read, if there are any. */
+void
+jobs_checkpoint_finish(struct jobs_checkpoint *checkpoint)
+{
+    if (checkpoint->partials != NULL) {
+        g_ptr_array_free(checkpoint->partials, TRUE);
+    }
+    memset(checkpoint, 0, sizeof(*checkpoint));
+}
+
+/* Restores the checkpoint of the previous runner.  For each item it has a line
+ * with the number of events, the id of the last event and the number of
+ * failures, and after it the output received so far. */
+void
+jobs_checkpoint_restore(struct jobs_run *run,
+                        const struct jobs_checkpoint *checkpoint)
+{
+    const GPtrArray *partials = checkpoint->partials;
+
+    run->n_checkpoint_pieces = checkpoint->n_pieces;
+    run->checkpoint_revision = checkpoint->revision;
     for (guint i = 0; i < partials->len; i++) {
         const struct jobs_result *partial = partials->pdata[i];
         const char *text = memchr(partial->text, '\n', partial->size);
@@ -146,13 +206,6 @@
     g_ptr_array_free(pieces, TRUE);
 }
 
-/* The checkpoint that was sent last is stored now. */
-void
-jobs_checkpoint_stored(struct jobs_run *run)
-{
-    run->n_checkpoint_pieces = run->n_sent_pieces;
-}
-
 static int64_t
 count_events(const struct jobs_run *run)
 {
@@ -166,6 +219,19 @@
     return n_events;
 }
 
+/* Takes the revision of the first piece from a reply.  After a conflict an
+ * earlier checkpoint without a reply has taken effect, or the head is another
+ * one; then the next checkpoint conflicts again until the run is stopped. */
+static void
+update_revision(struct jobs_run *run, const struct platform_kv *kv)
+{
+    char *key = jobs_checkpoint_key(run->head.id, 0);
+
+    run->checkpoint_revision =
+        platform_kv_revision_after(kv, key, run->checkpoint_revision);
+    g_free(key);
+}
+
 static void
 on_checkpoint(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -174,8 +240,9 @@
     (void)jobs;
     run->n_references--;
     run->n_writes--;
+    update_revision(run, kv);
     if (kv->status == PLATFORM_OK) {
-        jobs_checkpoint_stored(run);
+        run->n_checkpoint_pieces = run->n_sent_pieces;
     }
     else if (kv->status != PLATFORM_REJECTED || jobs_run_shrink_pieces(run)) {
         run->is_checkpoint_requested =
@@ -186,20 +253,24 @@
 
 /* Writes a checkpoint of the open items, from which the next runner resumes.
  * The write is conditional on the head's revision, so a runner that has lost
- * the job writes nothing. */
+ * the job writes nothing, and on that of the stored checkpoint. */
 static void
 write_checkpoint(struct jobs_run *run)
 {
     GPtrArray *pieces = encode_checkpoint(run);
     struct platform_kv *kv;
     char *head_key;
+    char *first_key;
 
     if (pieces->len > 0) {
         kv = platform_kv_new(PLATFORM_TXN, run->head.id);
         head_key = jobs_head_key(run->head.id);
+        first_key = jobs_checkpoint_key(run->head.id, 0);
         platform_kv_expect(kv, head_key, run->revision);
+        platform_kv_expect(kv, first_key, run->checkpoint_revision);
         add_pieces(run, kv, pieces);
         g_free(head_key);
+        g_free(first_key);
         run->n_references++;
         run->n_writes++;
         jobs_kv_send(run->jobs, kv,
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -8,8 +8,8 @@
     struct jobs_head head;
     int64_t revision; /* of the head */
     struct jobs_job *job;
-    GPtrArray *results;  /* of struct jobs_result; NULL: more than a page */
-    GPtrArray *partials; /* the checkpoint, of struct jobs_result */
+    GPtrArray *results; /* of struct jobs_result; NULL: more than a page */
+    struct jobs_checkpoint checkpoint;
 };
 
 static void
@@ -20,9 +20,7 @@
     if (claim->results != NULL) {
         g_ptr_array_free(claim->results, TRUE);
     }
-    if (claim->partials != NULL) {
-        g_ptr_array_free(claim->partials, TRUE);
-    }
+    jobs_checkpoint_finish(&claim->checkpoint);
     g_free(claim);
 }
 
@@ -35,53 +33,17 @@
     free_claim(claim);
 }
 
-/* Removes the last partial output if its text goes on in a piece that is
- * missing. */
-static void
-drop_cut_off(GPtrArray *partials)
-{
-    if (!jobs_results_are_whole(partials)) {
-        g_ptr_array_set_size(partials, (gint)partials->len - 1);
-    }
-}
-
-/* Decodes the pieces of the checkpoint in a reply; returns their number.  The
- * items of those that cannot be read start again. */
-static int
-read_checkpoint(struct claim *claim, const struct platform_kv *kv)
-{
-    struct base_error err = {0};
-    int n_pieces = 0;
-
-    claim->partials = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = 0; i < kv->entries->len; i++) {
-        const struct platform_entry *entry = kv->entries->pdata[i];
-        if (!jobs_is_checkpoint_key(entry->key)) {
-            continue;
-        }
-        n_pieces++;
-        if (err.code == BASE_OK &&
-            !jobs_results_decode(entry->value, claim->partials, &err)) {
-            base_log_error("jobs.checkpoint_unreadable", &err, "key=%s",
-                           entry->key);
-        }
-    }
-    drop_cut_off(claim->partials);
-    return n_pieces;
-}
-
 /* Starts the run of a claimed job from the checkpoint in a reply. */
 static void
 start_run(struct jobs *jobs, struct claim *claim, const struct platform_kv *kv)
 {
-    int n_partials = read_checkpoint(claim, kv);
-
+    jobs_checkpoint_read(&claim->checkpoint, kv->entries);
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
         struct jobs_run *run =
             jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
                            claim->revision, g_steal_pointer(&claim->results));
-        jobs_checkpoint_restore(run, claim->partials, n_partials);
+        jobs_checkpoint_restore(run, &claim->checkpoint);
     }
     g_hash_table_remove(jobs->pending_ids, claim->id);
     free_claim(claim);
@@ -96,7 +58,7 @@
     claim->results = g_ptr_array_new_with_free_func(jobs_result_free);
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
-        if (!jobs_is_checkpoint_key(entry->key) &&
+        if (jobs_checkpoint_number(entry->key) < 0 &&
             !jobs_results_decode(entry->value, claim->results, &err)) {
             base_log_error("jobs.results_unreadable", &err, "key=%s",
                            entry->key);
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -124,6 +124,7 @@
      * served. */
     bool is_unconfirmed;
     int n_checkpoint_pieces;      /* stored pieces of checkpoints, at most */
+    int64_t checkpoint_revision;  /* of the first of them */
     int n_sent_pieces;            /* of the checkpoint sent last */
     int n_references;             /* pending calls that refer to the run */
     int64_t next_commit_ms;       /* earliest time of the next commit */
@@ -314,12 +315,21 @@
 
 /* ---- checkpoint.c ---- */
 
+/* The stored checkpoint of a job. */
+struct jobs_checkpoint {
+    GPtrArray *partials; /* of struct jobs_result */
+    int n_pieces;        /* number of the last piece and one more */
+    int64_t revision;    /* of the first piece, or PLATFORM_ABSENT */
+};
+
 void jobs_checkpoint_init(struct jobs_run *run);
-void jobs_checkpoint_restore(struct jobs_run *run, const GPtrArray *partials,
-                             int n_pieces);
+void jobs_checkpoint_read(struct jobs_checkpoint *checkpoint,
+                          const GPtrArray *entries);
+void jobs_checkpoint_finish(struct jobs_checkpoint *checkpoint);
+void jobs_checkpoint_restore(struct jobs_run *run,
+                             const struct jobs_checkpoint *checkpoint);
 void jobs_checkpoint_add(struct jobs_run *run, struct platform_kv *kv,
                          bool has_output);
-void jobs_checkpoint_stored(struct jobs_run *run);
 void jobs_checkpoint_tick(struct jobs_run *run, int64_t now_ms);
 
 /* ---- lease.c ---- */
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -339,14 +339,26 @@
                                          JOBS_RESULTS_PREFIX, id, number);
 }
 
-/* Returns whether a key with the prefix of a job's results is the key of a
- * piece of its checkpoint. */
-bool
-jobs_is_checkpoint_key(const char *key)
+/* Returns the number of a piece of a checkpoint from its key, which has the
+ * prefix of a job's results, or -1 if it is another key. */
+int
+jobs_checkpoint_number(const char *key)
 {
+    static const char FIRST[] = "/partial";
     const char *name = strrchr(key, '/');
+    guint64 number;
 
-    return name != NULL && g_str_has_prefix(name, "/partial");
+    if (name == NULL || !g_str_has_prefix(name, FIRST)) {
+        return -1;
+    }
+    name += strlen(FIRST);
+    if (*name == '\0') {
+        return 0;
+    }
+    return *name == '.' && g_ascii_string_to_unsigned(name + 1, 10, 1, 999,
+                                                      &number, NULL)
+               ? (int)number
+               : -1;
 }
 
 /* ---- compressed texts ---- */
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -18,8 +18,9 @@
  *   jobs/r/ID/partial, jobs/r/ID/partial.N
  *                      checkpoint: partial outputs and failure counts of
  *                      unfinished items, from which the next runner resumes.
- *                      It may be missing or outdated; the items then repeat
- *                      more of their work
+ *                      Pieces of one checkpoint have one revision; others are
+ *                      ignored.  It may be missing or outdated; the items
+ *                      then repeat more of their work
  *
  * No value is above the service's limit: jobs_piece_bytes tells how much of a
  * text or of results a piece may hold.
@@ -105,7 +106,7 @@
 void jobs_result_free(gpointer data);
 struct jobs_result *jobs_result_new(const char *id, bool is_completed,
                                     const char *text, size_t size);
-bool jobs_is_checkpoint_key(const char *key);
+int jobs_checkpoint_number(const char *key);
 char *jobs_checkpoint_key(const char *id, int number);
 GPtrArray *jobs_text_split(GBytes *text, int64_t piece_bytes);
 GBytes *jobs_text_join(const GPtrArray *pieces, struct base_error *err);
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -234,9 +234,6 @@
     memset(&run->next_head, 0, sizeof(run->next_head));
     run->revision = revision;
     run->is_committing = false;
-    if (run->is_releasing) {
-        jobs_checkpoint_stored(run);
-    }
     run->last_commit_ms = base_clock_ms();
     g_array_set_size(run->committing, 0);
     if (run->is_releasing) {
--- a/packages/jobs/stored_results.c
+++ b/packages/jobs/stored_results.c
@@ -59,7 +59,7 @@
 {
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
-        if (jobs_is_checkpoint_key(entry->key)) {
+        if (jobs_checkpoint_number(entry->key) >= 0) {
             continue;
         }
         if (!jobs_results_decode(entry->value, read->out.results, err)) {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -32,9 +32,19 @@
     int64_t lease;
 };
 
+/* What the fake key-value service does with a write. */
+enum fate {
+    DONE,
+    DONE_WITHOUT_REPLY,
+    DONE_LATE,  /* no reply; store_do_late does it if its conditions hold */
+    DONE_TWICE, /* at once, and by store_do_late again */
+};
+
 struct fake {
     std::mutex lock;
-    std::set<std::string> limits; /* of responses; "-": none */
+    std::function<enum fate(const struct platform_kv *)> fate; /* or empty */
+    std::vector<struct platform_kv *> late; /* writes to be done late */
+    std::set<std::string> limits;           /* of responses; "-": none */
     std::map<std::string, stored> records;
     std::set<int64_t> leases;
     int64_t revision = 10;
@@ -157,10 +167,62 @@
            kv->writes->len + kv->conditions->len <= 32;
 }
 
+/* Returns a copy of a write that refers to nothing of the original. */
+struct platform_kv *
+copy_write(const struct platform_kv *kv)
+{
+    struct platform_kv *copy = platform_kv_new(kv->op, kv->key);
+    copy->expect_revision = kv->expect_revision;
+    copy->lease = kv->lease;
+    copy->value = kv->value != nullptr ? g_bytes_ref(kv->value) : nullptr;
+    for (guint i = 0; i < kv->conditions->len; i++) {
+        auto *at = (struct platform_condition *)kv->conditions->pdata[i];
+        platform_kv_expect(copy, at->key, at->revision);
+    }
+    for (guint i = 0; i < kv->writes->len; i++) {
+        auto *at = (struct platform_write *)kv->writes->pdata[i];
+        platform_kv_write(copy, at->key,
+                          at->value != nullptr ? g_bytes_ref(at->value)
+                                               : nullptr,
+                          at->lease);
+    }
+    return copy;
+}
+
+/* Does the writes that were kept for later, if their conditions hold and their
+ * lease has not ended. */
+void
+store_do_late()
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    for (struct platform_kv *kv : fake->late) {
+        if (kv->lease == 0 || fake->leases.count(kv->lease) > 0) {
+            try_write(kv);
+        }
+        platform_kv_free(kv);
+    }
+    fake->late.clear();
+}
+
+void
+set_no_reply(struct platform_kv *kv)
+{
+    kv->status = PLATFORM_UNAVAILABLE;
+    kv->verdict = BASE_MAY_HAVE_RUN;
+}
+
 void
 write_records(struct platform_kv *kv)
 {
     bool is_commit = false;
+    enum fate fate = fake->fate ? fake->fate(kv) : DONE;
+    if (fate == DONE_LATE || fate == DONE_TWICE) {
+        fake->late.push_back(copy_write(kv));
+    }
+    if (fate == DONE_LATE) {
+        set_no_reply(kv);
+        return;
+    }
     if (!is_write_allowed(kv)) {
         fake->n_rejected++;
         kv->status = PLATFORM_REJECTED;
@@ -187,8 +249,10 @@
     kv->revision = fake->revision;
     if (is_commit && fake->n_lost_replies > 0) {
         fake->n_lost_replies--;
-        kv->status = PLATFORM_UNAVAILABLE;
-        kv->verdict = BASE_MAY_HAVE_RUN;
+        set_no_reply(kv);
+    }
+    if (fate == DONE_WITHOUT_REPLY) {
+        set_no_reply(kv);
     }
 }
 
@@ -2280,6 +2344,335 @@
     }
 }
 
+/* ---- writes that the store does late, or without a reply ---- */
+
+const int N_LATE_EVENTS = 48; /* of an item; eight fill a piece */
+
+/* The data of an event: digits, so that a part of an output can be taken for
+ * the numbers of a checkpoint. */
+std::string
+digits_of(const std::string &id, int number)
+{
+    std::mt19937 random((uint32_t)number * 7919u + (uint32_t)id[0]);
+    std::string out;
+    while (out.size() < 900) {
+        out += std::to_string(311111111 + random() % 600000000) + ",";
+    }
+    return out + "71";
+}
+
+std::string
+whole_digits_of(const std::string &id)
+{
+    std::string out = id + "=";
+    for (int i = 1; i <= N_LATE_EVENTS; i++) {
+        out += (i > 1 ? "\n" : "") + digits_of(id, i);
+    }
+    return out;
+}
+
+/* Returns the events of an item between two numbers. */
+std::string
+events_of(const std::string &id, int after, int last)
+{
+    std::string out;
+    for (int i = after + 1; i <= last; i++) {
+        out += event_of(i, digits_of(id, i));
+    }
+    return out.empty() ? "" : chunk(out);
+}
+
+/* Returns how many pieces of a checkpoint a write has; 0: it is none. */
+int
+pieces_of(const struct platform_kv *kv)
+{
+    int n = 0;
+    for (guint i = 0; i < kv->writes->len; i++) {
+        auto *at = (struct platform_write *)kv->writes->pdata[i];
+        if (g_str_has_prefix(at->key, JOBS_HEAD_PREFIX)) {
+            return 0;
+        }
+        n += at->value != nullptr && jobs_checkpoint_number(at->key) >= 0;
+    }
+    return n;
+}
+
+/* A job of the items a and b, whose output grows when the test says so, and of
+ * items that fail when it says so: after each failure the runner writes a
+ * checkpoint. */
+class CheckpointSite {
+  public:
+    enum { N_FAILING = 60 };
+    std::atomic<int> n_events{0}; /* that items a and b have sent, at most */
+    std::atomic<bool> is_b_cut{false};     /* b has an event that has no id */
+    std::atomic<bool> is_finishing{false}; /* all items run to their end */
+    std::atomic<int> n_failing{0};         /* items that have failed */
+    std::atomic<int> n_pieces{0}; /* of the last checkpoint that was sent */
+    std::atomic<int> n_checkpoints{0};      /* that were sent */
+    std::atomic<enum fate> next_fate{DONE}; /* of the next of fate_pieces */
+    std::atomic<int> fate_pieces{0};
+    Site site;
+
+    CheckpointSite()
+        : site(
+              [this](int fd, const std::string &request) { run(fd, request); })
+    {
+        site.store.value_bytes = 8192;
+        site.known_value_bytes = 8192;
+        site.store.fate = [this](const struct platform_kv *kv) {
+            int n = pieces_of(kv);
+            if (n == 0) {
+                return DONE;
+            }
+            n_pieces = n;
+            n_checkpoints++;
+            return n == fate_pieces ? next_fate.exchange(DONE) : DONE;
+        };
+    }
+
+    static std::string
+    items()
+    {
+        std::string out = "a b";
+        for (int i = 0; i < N_FAILING; i++) {
+            out += " f" + std::to_string(i);
+        }
+        return out;
+    }
+
+    /* Lets items fail until a checkpoint with n pieces is sent. */
+    void
+    checkpoint(int n)
+    {
+        int seen = n_checkpoints;
+        while ((n_checkpoints == seen || n_pieces != n) &&
+               n_failing < N_FAILING) {
+            n_failing++;
+            for (int i = 0; i < 50 && n_checkpoints == seen; i++) {
+                g_usleep(10000);
+            }
+            seen = n_pieces == n ? seen : (int)n_checkpoints;
+        }
+        EXPECT_EQ(n_pieces, n);
+        g_usleep(100000); /* the runner receives the reply */
+    }
+
+  private:
+    std::set<std::string> failed;
+    std::mutex lock;
+
+    void
+    wait_for(const std::function<bool()> &is_true)
+    {
+        while (!is_true() && !is_finishing) {
+            g_usleep(1000);
+        }
+    }
+
+    void
+    fail(int fd, const std::string &request, const std::string &id)
+    {
+        bool is_first;
+        wait_for([&] { return n_failing > atoi(id.c_str() + 1); });
+        {
+            std::lock_guard<std::mutex> guard(lock);
+            is_first = failed.insert(id).second;
+        }
+        if (is_first && !is_finishing) {
+            test_write(fd, "HTTP/1.1 500 x\r\nx-id: " + id +
+                               "\r\ncontent-length: 0\r\n\r\n");
+            return;
+        }
+        wait_for([] { return false; });
+        serve(fd, request);
+    }
+
+    void
+    run(int fd, const std::string &request)
+    {
+        std::string id = test_header(request, "x-id");
+        int sent = atoi(test_header(request, "last-id").c_str());
+        if (id[0] == 'f') {
+            fail(fd, request, id);
+            return;
+        }
+        test_write(fd, head(request));
+        while (!is_finishing) {
+            int n = n_events;
+            test_write(fd, events_of(id, sent, n));
+            sent = MAX(sent, n);
+            if (id == "b" && is_b_cut) {
+                test_write(fd, chunk("data: without id\n\n"));
+                wait_for([] { return false; });
+                return; /* broken off */
+            }
+            wait_for([&] { return n_events > sent || is_b_cut; });
+        }
+        test_write(fd, events_of(id, sent, N_LATE_EVENTS) + "0\r\n\r\n");
+    }
+};
+
+/* Guards against outputs that are joined from two checkpoints (MIXED): one
+ * that the store did late overwrote a part of a later one. */
+TEST(Jobs, ACheckpointThatIsStoredLateDoesNotMixWithALaterOne)
+{
+    struct {
+        const char *name;
+        enum fate fate; /* of the first checkpoint */
+        int first;      /* events when it is written, and its pieces */
+        int first_pieces;
+        bool is_cut; /* the output of item b cannot be resumed then */
+        int second;
+        int second_pieces;
+        bool has_third; /* another one after the late one */
+        bool is_planned;
+        bool is_late_after_claim;
+    } cases[] = {
+        {"fewer pieces over more", DONE_LATE, 5, 2, false, 17, 4, false, false,
+         false},
+        {"again, fewer pieces over more", DONE_TWICE, 5, 2, false, 17, 4,
+         false, false, false},
+        {"more pieces before fewer", DONE_LATE, 16, 4, true, 19, 3, true,
+         false, false},
+        {"again, more pieces before fewer", DONE_TWICE, 16, 4, true, 19, 3,
+         true, false, false},
+        {"no reply, and another one", DONE_WITHOUT_REPLY, 5, 2, false, 17, 4,
+         false, false, false},
+        {"after a takeover", DONE_LATE, 5, 2, false, 17, 4, false, false,
+         true},
+        {"before a release", DONE_LATE, 5, 2, false, 17, 4, false, true,
+         false},
+        {"after a release", DONE_TWICE, 16, 4, true, 19, 3, false, true, true},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        CheckpointSite of;
+        auto one = std::make_unique<Node>(of.site, "n1");
+        Node two(of.site, "n2");
+        ASSERT_EQ(one->submit("j", CheckpointSite::items()), JOBS_OK);
+        of.next_fate = row.fate;
+        of.fate_pieces = row.first_pieces;
+        of.n_events = row.first;
+        of.checkpoint(row.first_pieces);
+        EXPECT_EQ(of.next_fate, DONE);
+        of.n_events = row.second;
+        of.is_b_cut = row.is_cut;
+        of.checkpoint(row.second_pieces);
+        if (!row.is_late_after_claim) {
+            store_do_late();
+        }
+        if (row.has_third) {
+            of.checkpoint(row.second_pieces);
+        }
+        if (row.is_planned) {
+            jobs_drain(one->jobs);
+        }
+        else {
+            one->stop();
+            end_leases_of("n1");
+            of.site.members[0].state = MEMBERS_DEAD;
+            two.update(of.site.world);
+        }
+        while (runner_of("j") != "n2#1") {
+            g_usleep(1000);
+        }
+        store_do_late();
+        of.is_finishing = true;
+        auto results =
+            as_set(two.wait_for("j", 2 + CheckpointSite::N_FAILING));
+        EXPECT_EQ(results.size(), 2u + CheckpointSite::N_FAILING);
+        EXPECT_EQ(results.count(whole_digits_of("a")), 1u);
+        EXPECT_EQ(results.count(whole_digits_of("b")), 1u);
+    }
+}
+
+/* Stores some pieces of a checkpoint of the items a and b with n events each,
+ * all in one write. */
+void
+store_checkpoint(int n, const std::vector<int> &numbers)
+{
+    GPtrArray *partials = g_ptr_array_new_with_free_func(jobs_result_free);
+    for (const char *id : {"a", "b"}) {
+        std::string text =
+            std::to_string(n) + " " + std::to_string(n) + " 0\n";
+        for (int i = 1; i <= n; i++) {
+            text += (i > 1 ? "\n" : "") + digits_of(id, i);
+        }
+        g_ptr_array_add(partials,
+                        jobs_result_new(id, true, text.data(), text.size()));
+    }
+    GPtrArray *pieces = jobs_results_split(partials, 8000);
+    std::lock_guard<std::mutex> guard(fake->lock);
+    fake->revision++;
+    for (int number : numbers) {
+        char *key = jobs_checkpoint_key("j", number);
+        ASSERT_LT(number, (int)pieces->len);
+        fake->records[key] = {text_of((GBytes *)pieces->pdata[number]),
+                              fake->revision, 0};
+        g_free(key);
+    }
+    g_ptr_array_free(pieces, TRUE);
+    g_ptr_array_free(partials, TRUE);
+}
+
+/* Guards against outputs that are joined from two checkpoints, as earlier
+ * versions of this program may have left them in the store. */
+TEST(Jobs, PiecesOfDifferentCheckpointsAreNotJoined)
+{
+    struct {
+        const char *name;
+        std::vector<int> small; /* pieces of one of 5 events, two pieces */
+        std::vector<int> large; /* then of one of 17 events, four pieces */
+        int a;                  /* events after which the items resume */
+        int b;
+    } cases[] = {
+        {"a whole one", {0, 1}, {}, 5, 5},
+        {"another whole one", {}, {0, 1, 2, 3}, 17, 17},
+        {"the last pieces are of another", {0, 1}, {2, 3}, 5, 5},
+        {"the second piece is of another", {0}, {1, 2, 3}, 5, 0},
+        {"the first piece is of another", {1}, {0, 2, 3}, 0, 0},
+        {"the first piece is missing", {}, {1, 2, 3}, 0, 0},
+        {"a piece is missing", {}, {0, 1, 3}, 17, 0},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        std::mutex lock;
+        std::map<std::string, int> resumed;
+        Site site([&](int fd, const std::string &request) {
+            std::string id = test_header(request, "x-id");
+            int after = atoi(test_header(request, "last-id").c_str());
+            {
+                std::lock_guard<std::mutex> guard(lock);
+                resumed[id] = after;
+            }
+            test_write(fd, head(request) +
+                               events_of(id, after, N_LATE_EVENTS) +
+                               "0\r\n\r\n");
+        });
+        auto one = std::make_unique<Node>(site, "n1");
+        site.store.n_busy_answers = 1000000; /* nothing runs */
+        ASSERT_EQ(one->submit("j", "a b"), JOBS_OK);
+        one->stop();
+        store_checkpoint(5, row.small);
+        store_checkpoint(17, row.large);
+        {
+            std::lock_guard<std::mutex> guard(site.store.lock);
+            site.store.n_busy_answers = 0;
+        }
+        end_leases_of("n1");
+        site.members[0].state = MEMBERS_DEAD;
+        Node two(site, "n2");
+        EXPECT_EQ(as_set(two.wait_for("j", 2)),
+                  (std::set<std::string>{whole_digits_of("a"),
+                                         whole_digits_of("b")}));
+        std::lock_guard<std::mutex> guard(lock);
+        EXPECT_EQ(resumed["a"], row.a);
+        EXPECT_EQ(resumed["b"], row.b);
+    }
+}
+
 /* Reads results as clients do, page by page, until there are n; stops after
  * about ten seconds. */
 std::vector<std::string>
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -19,8 +19,13 @@
  * BASE_MAY_HAVE_RUN means that an earlier attempt of this write may have taken
  * effect and another writer may have replaced the record since.
  *
- * Writes with PLATFORM_ANY replace the record at any revision, also when they
- * are sent again: use them only for records with one writer.  A plain write
+ * The service may do a write that got no response seconds later, or a second
+ * time, if its conditions still hold.  So a write must change a key that it is
+ * conditional on, or a later write could be undone or mixed with it.  Writes
+ * with PLATFORM_ANY replace the record at any revision: use them only where a
+ * late one does no harm.  A record with one writer, such as an entry bound to
+ * a lease, expects its last known revision, and after a conflict the one that
+ * platform_kv_revision_after returns.  A plain write
  * (is_plain) stores no identity, so that other programs can read the value;
  * if its response is lost, the repeated write ends in PLATFORM_CONFLICT.
  */
@@ -131,6 +136,8 @@
                         int64_t revision);
 void platform_kv_write(struct platform_kv *kv, const char *key, GBytes *value,
                        int64_t lease);
+int64_t platform_kv_revision_after(const struct platform_kv *kv,
+                                   const char *key, int64_t known);
 void platform_kv_send(struct platform *platform, struct platform_kv *kv,
                       struct base_task *from,
                       void (*answered)(struct platform_kv *kv,
