Write a runner's entry only over its last known revision

Cause: the entry was written at any revision, so a write that the store did late could bind it to an earlier lease, or undo the state "leaving". When that lease ended, other nodes took the jobs of a runner that held a valid one. packages/batch had the same, there also between processes of one node.

--- a/packages/batch/batch_private.h
+++ b/packages/batch/batch_private.h
@@ -231,6 +231,7 @@
     int64_t lease;           /* 0: none */
     bool is_lease_requested; /* a request for it is pending */
     bool is_registered;      /* the runner's key is written under the lease */
+    int64_t entry_revision;  /* last known one of the runner's key */
     int64_t lease_until_ms;
     int64_t lease_next_ms;  /* time of the next request about the lease */
     GPtrArray *runs;        /* of struct batch_run */
--- a/packages/batch/runner.c
+++ b/packages/batch/runner.c
@@ -44,6 +44,7 @@
 drop_lease(struct batch *batch, int64_t now_ms)
 {
     batch->lease = 0;
+    batch->entry_revision = PLATFORM_ABSENT; /* it ends with the lease */
     batch->is_registered = false;
     batch->lease_next_ms = now_ms;
 }
@@ -52,6 +53,8 @@
 on_register_done(struct batch *batch, struct platform_kv *kv, void *context)
 {
     batch->is_lease_requested = false;
+    batch->entry_revision =
+        platform_kv_revision_after(kv, kv->key, batch->entry_revision);
     if (kv->status == PLATFORM_OK) {
         batch->is_registered = true;
         batch->lease_next_ms = base_clock_ms() + lease_ms(batch) / 2;
@@ -59,8 +62,17 @@
     else if (kv->status == PLATFORM_LEASE_EXPIRED) {
         drop_lease(batch, base_clock_ms());
     }
+    else if (kv->status == PLATFORM_CONFLICT &&
+             batch->entry_revision != kv->expect_revision) {
+        /* The entry of an earlier process of this node, or of an earlier write
+         * without a reply. */
+        batch->lease_next_ms = base_clock_ms();
+    }
 }
 
+/* Writes the runner's key under the lease.  Conditional on its last known
+ * revision: a write that the store does late must not bind the key to an
+ * earlier lease, or name an earlier process. */
 static void
 register_runner(struct batch *batch)
 {
@@ -68,7 +80,7 @@
     struct platform_kv *kv = platform_kv_new(PLATFORM_PUT_IF, key);
 
     kv->value = g_bytes_new(batch->claim, strlen(batch->claim));
-    kv->expect_revision = PLATFORM_ANY;
+    kv->expect_revision = batch->entry_revision;
     kv->lease = batch->lease;
     batch->is_lease_requested = true;
     batch_kv(batch, kv, (struct batch_kv_callback){on_register_done, NULL});
--- a/packages/batch/test_batch.cc
+++ b/packages/batch/test_batch.cc
@@ -844,6 +844,45 @@
 
 /* A draining runner finishes and commits its running items and releases the
  * shards.  Another runner does the remaining items; none runs twice. */
+/* Guards against runners that lose their shards while they hold a lease: the
+ * store did a write of an earlier process of the node late. */
+TEST_F(batch_test, ALateWriteOfAnEarlierProcessDoesNotReplaceTheRunner)
+{
+    test_server engine(
+        [](int fd, const std::string &request) { test_wait_for_close(fd); });
+    struct world *world = make_world(engine.port, 1, 10);
+    std::string key = std::string(BATCH_RUNNERS) + "n1";
+    auto stored = [&] {
+        std::lock_guard<std::mutex> guard(kv.lock);
+        auto found = kv.records.find(key);
+        return found != kv.records.end() ? found->second : fake_record{};
+    };
+    auto wait_for_other = [&](const std::string &value) {
+        for (int i = 0; i < 10000 && stored().value == value; i++) {
+            g_usleep(1000);
+        }
+        return stored();
+    };
+    kv.late_prefix = key;
+    fake_record first;
+    {
+        test_node node("n1", world, true, 200);
+        create_job(node, model_line("a"));
+        first = wait_for_other("");
+    }
+    test_node node("n1", world, true, 200);
+    fake_record second = wait_for_other(first.value);
+    {
+        std::lock_guard<std::mutex> guard(kv.lock);
+        ASSERT_NE(kv.late, nullptr);
+        fake_put(kv.late);
+        platform_kv_free(kv.late);
+    }
+    EXPECT_NE(second.value, first.value);
+    EXPECT_EQ(stored().value, second.value);
+    world_unref(world);
+}
+
 TEST_F(batch_test, DrainReleasesShards)
 {
     std::atomic<int> n_served{0};
--- a/packages/batch/test_fakes.h
+++ b/packages/batch/test_fakes.h
@@ -45,6 +45,10 @@
     /* Number of the next writes that take effect but whose replies are lost.
      */
     std::atomic<int> n_replies_to_lose{0};
+    /* The next write of a key with this prefix is kept in `late`, without a
+     * reply. */
+    std::string late_prefix;
+    struct platform_kv *late = nullptr;
 };
 
 static struct fake_kv *fake = nullptr;
@@ -291,6 +295,17 @@
     if (fake->is_down) {
         kv->status = PLATFORM_UNAVAILABLE;
     }
+    else if (is_write && !fake->late_prefix.empty() &&
+             strncmp(kv->key, fake->late_prefix.c_str(),
+                     fake->late_prefix.size()) == 0) {
+        fake->late_prefix.clear();
+        fake->late = platform_kv_new(kv->op, kv->key);
+        fake->late->value = g_bytes_ref(kv->value);
+        fake->late->lease = kv->lease;
+        fake->late->expect_revision = kv->expect_revision;
+        kv->status = PLATFORM_UNAVAILABLE;
+        kv->verdict = BASE_MAY_HAVE_RUN;
+    }
     else {
         fake_kv_run(kv);
         if (is_write && fake->n_replies_to_lose > 0) {
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -195,9 +195,10 @@
     int is_draining; /* atomic */
     int is_idle;     /* atomic */
     /* lease */
-    int64_t lease_id;   /* 0: none */
-    bool is_leasing;    /* a call for the lease or the entry is pending */
-    bool is_registered; /* the runner's entry is stored */
+    int64_t lease_id;       /* 0: none */
+    bool is_leasing;        /* a call for the lease or the entry is pending */
+    bool is_registered;     /* the runner's entry is stored */
+    int64_t entry_revision; /* last known one of the entry */
     int64_t lease_wanted_until_ms;
     /* When this node last had its lease, or no open job. */
     int64_t lease_missing_ms;
--- a/packages/jobs/lease.c
+++ b/packages/jobs/lease.c
@@ -179,6 +179,7 @@
         set_unconfirmed(jobs);
     }
     jobs->lease_id = 0;
+    jobs->entry_revision = PLATFORM_ABSENT; /* it ends with the lease */
     jobs->is_registered = false;
     jobs->has_announced_leaving = false;
     jobs->lease_until_ms = 0;
@@ -195,24 +196,37 @@
 static void
 on_registered(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
+    int64_t now_ms = base_clock_ms();
+
     jobs->is_leasing = false;
-    jobs->next_lease_call_ms = base_clock_ms() + LEASE_RETRY_MS;
+    jobs->next_lease_call_ms = now_ms + LEASE_RETRY_MS;
+    jobs->entry_revision =
+        platform_kv_revision_after(kv, kv->key, jobs->entry_revision);
     if (kv->status == PLATFORM_OK) {
         jobs->is_registered = true;
         jobs->has_announced_leaving = jobs->is_announcing_leaving;
         jobs->next_lease_call_ms =
-            base_clock_ms() + jobs->lease_ms / RENEWALS_PER_LEASE;
+            now_ms + jobs->lease_ms / RENEWALS_PER_LEASE;
         base_log(BASE_LOG_NOTICE, "jobs.registered",
                  "runner=%s leaving=%d lease=%" G_GINT64_FORMAT, jobs->runner,
                  jobs->has_announced_leaving, jobs->lease_id);
         confirm_runs(jobs);
-        end_waits(jobs, jobs_holds_lease(jobs), base_clock_ms());
+        end_waits(jobs, jobs_holds_lease(jobs), now_ms);
     }
     else if (kv->status == PLATFORM_LEASE_EXPIRED) {
         lose_lease(jobs);
     }
+    else if (kv->status == PLATFORM_CONFLICT &&
+             jobs->entry_revision != kv->expect_revision) {
+        /* An earlier write without a reply has taken effect, or the entry has
+         * ended with its lease. */
+        jobs->next_lease_call_ms = 0;
+    }
 }
 
+/* Writes the runner's entry, which is bound to the lease.  Conditional on its
+ * last known revision: a write that the store does late must not bind the
+ * entry to an earlier lease, which may end, or undo a newer state. */
 static void
 register_runner(struct jobs *jobs)
 {
@@ -221,7 +235,7 @@
     char *key = g_strconcat(JOBS_NODE_PREFIX, jobs->runner, NULL);
     struct platform_kv *kv = platform_kv_new(PLATFORM_PUT_IF, key);
 
-    kv->expect_revision = PLATFORM_ANY;
+    kv->expect_revision = jobs->entry_revision;
     kv->lease = jobs->lease_id;
     kv->value = g_bytes_new_static(state, strlen(state));
     g_free(key);
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -2673,6 +2673,84 @@
     }
 }
 
+/* Returns the stored entry of a runner; without a lease if there is none. */
+stored
+entry_of(const char *runner)
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    auto found = fake->records.find(std::string(JOBS_NODE_PREFIX) + runner);
+    return found != fake->records.end() ? found->second : stored{"", 0, 0};
+}
+
+/* Waits until a runner's entry has a value and another lease than an earlier
+ * one; stops after about ten seconds. */
+stored
+wait_for_entry(const char *runner, const std::string &value, int64_t not_lease)
+{
+    stored at = entry_of(runner);
+    for (int i = 0; i < 10000; i++) {
+        if (at.value == value && at.lease != 0 && at.lease != not_lease) {
+            return at;
+        }
+        g_usleep(1000);
+        at = entry_of(runner);
+    }
+    ADD_FAILURE() << "the entry is " << at.value << " lease " << at.lease;
+    return at;
+}
+
+/* Guards against runners that lose their jobs while they hold a lease: a late
+ * write had bound their entry to an earlier lease, which ended. */
+TEST(Jobs, ARunnersEntryIsNotUndoneByALateWrite)
+{
+    struct {
+        const char *name;
+        enum fate fate; /* of the first write of the entry */
+        bool has_new_lease;
+        bool is_leaving;
+    } cases[] = {
+        {"of an earlier lease", DONE_LATE, true, false},
+        {"of an earlier lease, done before", DONE_TWICE, true, false},
+        {"of an earlier state", DONE_LATE, false, true},
+        {"of an earlier state, done before", DONE_TWICE, false, true},
+        {"done without a reply", DONE_WITHOUT_REPLY, true, true},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        Site site;
+        enum fate next = row.fate;
+        site.store.fate = [&next](const struct platform_kv *kv) {
+            enum fate fate = next;
+            if (kv->op != PLATFORM_PUT_IF ||
+                !g_str_has_prefix(kv->key, JOBS_NODE_PREFIX)) {
+                return DONE;
+            }
+            next = DONE;
+            return fate;
+        };
+        site.store.n_busy_answers = 1000000; /* the job stays open */
+        Node node(site, "n1");
+        ASSERT_EQ(node.submit("j", "a"), JOBS_OK);
+        stored entry = wait_for_entry("n1#1", JOBS_RUNNER_READY, 0);
+        if (row.has_new_lease) {
+            site.store.is_down = true;
+            g_usleep(900000); /* longer than the lease */
+            site.store.is_down = false;
+            entry = wait_for_entry("n1#1", JOBS_RUNNER_READY, entry.lease);
+        }
+        if (row.is_leaving) {
+            jobs_drain(node.jobs);
+            entry = wait_for_entry("n1#1", JOBS_RUNNER_LEAVING, 0);
+        }
+        g_usleep(100000); /* the node receives the reply */
+        store_do_late();
+        stored after = entry_of("n1#1");
+        EXPECT_EQ(after.lease, entry.lease);
+        EXPECT_EQ(after.value, entry.value);
+    }
+}
+
 /* Reads results as clients do, page by page, until there are n; stops after
  * about ten seconds. */
 std::vector<std::string>
