Bound the outputs of all items of a node together

Each item kept up to 16 MiB, and nothing bounded the sum; emptied buffers stayed allocated.

Change: the settings have memory_mb, of which a part is for outputs. Their memory is counted; beyond half of the part only one item at a time is sent, beyond it the largest output is dropped and its item runs again later. Listed and corrupt outputs are freed.

--- a/packages/jobs/checkpoint.c
+++ b/packages/jobs/checkpoint.c
@@ -112,6 +112,7 @@
             g_string_append_len(
                 events->text, text + 1,
                 (gssize)(partial->size - (size_t)(text + 1 - partial->text)));
+            jobs_output_changed(&run->works[n]);
         }
     }
 }
--- a/packages/jobs/events.c
+++ b/packages/jobs/events.c
@@ -31,6 +31,33 @@
     memset(events, 0, sizeof(*events));
 }
 
+/* Frees the buffers, as truncation would keep them. */
+static void
+free_buffers(struct jobs_events *events)
+{
+    g_string_free(events->text, TRUE);
+    g_string_free(events->pending, TRUE);
+    events->text = g_string_new(NULL);
+    events->pending = g_string_new(NULL);
+}
+
+/* Frees the data of a stream that has been committed or is cut off.  The next
+ * attempt, if there is one, starts at the beginning. */
+void
+jobs_events_drop(struct jobs_events *events)
+{
+    free_buffers(events);
+    events->is_corrupt = true;
+}
+
+/* Returns the memory that the data takes. */
+int64_t
+jobs_events_bytes(const struct jobs_events *events)
+{
+    return (int64_t)(events->text->allocated_len +
+                     events->pending->allocated_len);
+}
+
 /* Starts a new attempt.  With `resumes` the stream continues after the last
  * complete event; otherwise the collected data is discarded. */
 void
@@ -38,10 +65,11 @@
 {
     g_string_truncate(events->pending, 0);
     events->is_corrupt = false;
+    events->is_too_large = false;
     if (resumes) {
         return;
     }
-    g_string_truncate(events->text, 0);
+    free_buffers(events);
     events->count = 0;
     events->last_id = 0;
     events->has_ids = true;
@@ -112,14 +140,19 @@
 append_event(struct jobs_events *events, const char *text, size_t size)
 {
     struct event event = {0};
+    int64_t max_text =
+        events->max_text > 0 ? events->max_text : MAX_TEXT_BYTES;
 
     parse_event(&event, text, size);
     if (event.data == NULL) {
         return; /* a comment or a keep-alive without data */
     }
-    if ((event.has_id && events->count > 0 && events->has_ids &&
-         !may_follow(events, event.id)) ||
-        events->text->len + event.data->len > MAX_TEXT_BYTES) {
+    if ((int64_t)(events->text->len + event.data->len) > max_text) {
+        events->is_too_large = true;
+        events->is_corrupt = true;
+    }
+    else if (event.has_id && events->count > 0 && events->has_ids &&
+             !may_follow(events, event.id)) {
         events->is_corrupt = true;
     }
     else {
@@ -155,6 +188,7 @@
     }
     g_string_erase(events->pending, 0, (gssize)from);
     if (events->pending->len > MAX_EVENT_BYTES) {
+        events->is_too_large = true;
         events->is_corrupt = true;
     }
 }
--- a/packages/jobs/events.h
+++ b/packages/jobs/events.h
@@ -26,6 +26,8 @@
     bool has_ids;     /* every event had an id: the stream can be resumed */
     bool is_corrupt;  /* an event is missing or repeated, or there is more data
                          than a stream may have */
+    bool is_too_large; /* corrupt because there is more data */
+    int64_t max_text;  /* bytes of `text`; 0: 16 MiB */
 };
 
 void jobs_events_init(struct jobs_events *events);
@@ -33,6 +35,8 @@
 void jobs_events_begin(struct jobs_events *events, bool resumes);
 void jobs_events_feed(struct jobs_events *events, const char *data,
                       size_t size);
+void jobs_events_drop(struct jobs_events *events);
+int64_t jobs_events_bytes(const struct jobs_events *events);
 bool jobs_events_are_complete(const struct jobs_events *events);
 bool jobs_events_may_resume(const struct jobs_events *events);
 
--- a/packages/jobs/item.c
+++ b/packages/jobs/item.c
@@ -11,6 +11,7 @@
     MAX_ATTEMPT_MS = 60000,       /* longest attempt at one server */
     REFUSED_RETRY_MS = 100, /* after a refusal, times n_refusals; else once */
     FAILED_RETRY_MS = 200,  /* after a failure, times the failures so far */
+    CUT_RETRY_MS = 100,     /* after output without end, times these so far */
     MAX_BACK_OFF_FACTOR = 10, /* limit of the factor for these delays */
     /* A server that has sent this many events has not crashed when it began to
      * answer. */
@@ -112,7 +113,9 @@
 log_attempt(const struct jobs_work *work, const struct backends_result *result)
 {
     const struct jobs_item *item = work->run->job->items->pdata[work->index];
-    const char *reason = work->events.is_corrupt
+    const char *reason = work->is_cut
+                             ? "the outputs of all items are too large"
+                         : work->events.is_corrupt
                              ? "events are out of order, or there is too much"
                          : work->n_discarded > MAX_DISCARDED_BYTES
                              ? "a long body that is no event stream"
@@ -161,6 +164,9 @@
         return;
     }
     log_attempt(work, result);
+    if (work->events.is_corrupt) {
+        jobs_output_drop(work); /* the next attempt starts anew */
+    }
     if (work->is_preempted) {
         delay_retry(work, 0);
     }
@@ -179,6 +185,12 @@
     else if (result->status == STATUS_FAILED && result->is_complete) {
         count_failure(work);
     }
+    else if (work->is_cut || work->events.is_too_large) {
+        /* More output than an item may have, or that all may have. */
+        work->n_cuts++;
+        delay_retry(work,
+                    CUT_RETRY_MS * MIN(work->n_cuts, MAX_BACK_OFF_FACTOR));
+    }
     else if (work->n_discarded > MAX_DISCARDED_BYTES) {
         /* The server may do the same again, at once. */
         work->n_refusals++;
@@ -252,6 +264,10 @@
         return;
     }
     jobs_events_feed(&work->events, data, size);
+    jobs_output_changed(work);
+    if (work->is_cut) {
+        return;
+    }
     if (work->events.is_corrupt) {
         /* The server may go on sending without end. */
         backends_cancel(&work->run->jobs->backends, work->call);
@@ -374,6 +390,8 @@
     bool resumes = jobs_events_may_resume(&work->events);
 
     jobs_events_begin(&work->events, resumes);
+    jobs_output_changed(work);
+    work->is_cut = false;
     work->n_earlier_events = work->events.count;
     work->first_event_us = 0;
     work->sent_at_us = base_clock_us();
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -495,6 +495,7 @@
     jobs->lease_ms = desc->lease_ms > 0 ? desc->lease_ms : LEASE_MS;
     make_counters(jobs, desc->counters);
     jobs_cost_init(jobs, desc->cost_routing, desc->counters);
+    jobs_outputs_init(jobs, desc->output_bytes);
 }
 
 static bool
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -209,9 +209,11 @@
     const char *public_key_file;
     const char *secret_key_file;
     const char *peer_keys_file;
-    int64_t lease_ms; /* lease of a runner; 0: 3,000 */
-    int64_t life;     /* start of the process, wall ms; 0: now.  The node's
-                         membership record must have the same. */
+    int64_t lease_ms;     /* lease of a runner; 0: 3,000 */
+    int64_t output_bytes; /* memory for the outputs of unfinished items; 0:
+                             48 MiB */
+    int64_t life;         /* start of the process, wall ms; 0: now.  The node's
+                             membership record must have the same. */
 };
 
 struct jobs *jobs_start(const struct jobs_desc *desc, struct base_error *err);
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -20,6 +20,7 @@
  *   claim.c      claims of these jobs
  *   item.c       an attempt of one item at a backend server
  *   admission.c  admission requests for items
+ *   outputs.c    the memory of the outputs of all items
  *   cost.c       estimates of the work of items
  *   events.c     collection of streams of server-sent events
  *   rpc.c        RPCs between nodes, on a task of their own
@@ -66,6 +67,9 @@
     struct jobs_events events; /* output received so far */
     int n_failures;            /* number of responses with status 500 */
     int n_refusals;            /* refused attempts since the last new event */
+    int n_cuts;                /* attempts that were cut off for their size */
+    bool is_cut;               /* the open attempt is */
+    int64_t output_bytes;      /* memory of `events`, as counted in jobs */
     int64_t not_before_ms;     /* earliest next attempt in JOBS_WORK_WAITING */
     bool is_completed;         /* valid in JOBS_WORK_DONE */
     struct quarantine_parts parts; /* of the prompt, at the deployment */
@@ -191,6 +195,8 @@
     int n_admissions;          /* number of pending admission requests */
     int n_running;             /* number of items at servers */
     int n_calls;               /* pending calls to other tasks */
+    int64_t output_limit;      /* bytes of the outputs of unfinished items */
+    int64_t output_bytes;      /* their memory now */
     bool is_stopped;
     int is_draining; /* atomic */
     int is_idle;     /* atomic */
@@ -228,6 +234,8 @@
     struct base_counter *n_preemptions;
     struct base_counter *n_resumes;
     struct base_counter *running_gauge;
+    struct base_counter *output_gauge;
+    struct base_counter *n_outputs_cut;
 };
 
 /* ---- store.c ---- */
@@ -370,6 +378,15 @@
 void jobs_work_cancel(struct jobs_work *work);
 void jobs_preempt(void *task_state, uint64_t contract, int slots);
 
+/* ---- outputs.c ---- */
+
+void jobs_outputs_init(struct jobs *jobs, int64_t limit);
+void jobs_output_init(struct jobs_work *work);
+void jobs_output_changed(struct jobs_work *work);
+void jobs_output_drop(struct jobs_work *work);
+void jobs_output_finish(struct jobs_work *work);
+bool jobs_outputs_have_room(const struct jobs *jobs);
+
 /* ---- cost.c ---- */
 
 void jobs_cost_init(struct jobs *jobs, bool is_enabled,
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -32,7 +32,7 @@
     work->run = run;
     work->index = index;
     work->server = WORLD_NONE;
-    jobs_events_init(&work->events);
+    jobs_output_init(work);
 }
 
 /* Marks items whose results are committed, so that they do not run again. */
@@ -122,7 +122,7 @@
 jobs_run_free(struct jobs_run *run)
 {
     for (guint i = 0; i < run->job->items->len; i++) {
-        jobs_events_finish(&run->works[i].events);
+        jobs_output_finish(&run->works[i]);
     }
     g_free(run->works);
     jobs_job_free(run->job);
@@ -226,7 +226,7 @@
         struct jobs_work *work =
             &run->works[g_array_index(run->committing, int, i)];
         work->state = JOBS_WORK_LISTED;
-        g_string_truncate(work->events.text, 0);
+        jobs_output_drop(work);
     }
     g_ptr_array_extend_and_steal(run->results, results);
     jobs_head_finish(&run->head);
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -617,6 +617,7 @@
     int64_t known_value_bytes = 1 << 20; /* limit of a value, to the nodes */
     decltype(&decode) decode_job = decode;
     bool cost_routing = false;
+    int64_t output_bytes = 0;
 
     explicit Site(test_server::script script = serve, int64_t limit = 0)
         : engine(script), limit(limit)
@@ -742,6 +743,7 @@
         desc.decode = site.decode_job;
         desc.lease_ms = 600;
         desc.cost_routing = site.cost_routing;
+        desc.output_bytes = site.output_bytes;
         desc.life = (int64_t)member().life;
         desc.rpc_address =
             member().address.empty() ? nullptr : member().address.c_str();
@@ -2751,6 +2753,41 @@
     }
 }
 
+/* Guards against processes that are ended for their memory, because the bound
+ * of each item's output bounds their sum too late. */
+TEST(Jobs, OutputsOfAllItemsTogetherAreBounded)
+{
+    enum { LIMIT = 8 << 20, N_ENDLESS = 6, N_TRIES = 3 };
+    std::atomic<int> n_endless{0};
+    std::atomic<int64_t> most{0};
+    Site *at = nullptr;
+    Site site([&](int fd, const std::string &request) {
+        std::string id = test_header(request, "x-id");
+        if (id[0] != 'e' || n_endless++ >= N_ENDLESS * N_TRIES) {
+            serve(fd, request);
+            return;
+        }
+        std::string events;
+        for (int i = 0; i < 100; i++) {
+            events += "data: " + std::string(600, '7') + "\n\n";
+        }
+        test_write(fd, head(request));
+        while (test_write(fd, chunk(events))) {
+            int64_t now = base_counter_value(
+                base_gauge(&at->counters, "job_output_bytes"));
+            most = std::max(most.load(), now);
+        }
+    });
+    at = &site;
+    site.output_bytes = LIMIT;
+    Node node(site, "n1");
+
+    ASSERT_EQ(node.submit("j", "a e0 e1 e2 e3 e4 e5 b c"), JOBS_OK);
+    EXPECT_EQ(node.wait_for("j", 9).size(), 9u);
+    EXPECT_LE(most, LIMIT);
+    EXPECT_GT(n_endless, N_ENDLESS);
+}
+
 /* Reads results as clients do, page by page, until there are n; stops after
  * about ten seconds. */
 std::vector<std::string>
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -216,7 +216,8 @@
 {
     const struct node_settings *settings = node->settings;
     const struct front_protocol *protocol = node->adapter->protocol;
-    const struct jobs_desc desc = {
+    struct node_memory memory;
+    struct jobs_desc desc = {
         .node = settings->name,
         .zone = settings->zone,
         .source = settings->source,
@@ -246,6 +247,8 @@
     if (settings->site.jobs == NULL) {
         return true; /* this node runs no jobs */
     }
+    node_memory_plan(settings->memory_mb, &memory);
+    desc.output_bytes = memory.outputs;
     node->jobs = jobs_start(&desc, err);
     return node->jobs != NULL;
 }
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -79,9 +79,10 @@
     int64_t value_bytes; /* limit of a stored value; 0: the client's */
     struct node_site_settings site;
     bool is_naive; /* round robin without admission contracts, as a baseline */
-    bool is_runner;   /* the node runs batch items */
-    int cpu_milli;    /* processor, thousandths of a core; 0: not known */
-    int64_t drain_ms; /* longest wait for running work at shutdown */
+    bool is_runner;    /* the node runs batch items */
+    int cpu_milli;     /* processor, thousandths of a core; 0: not known */
+    int64_t memory_mb; /* that the process may use */
+    int64_t drain_ms;  /* longest wait for running work at shutdown */
     enum base_log_level log_level;
 };
 
@@ -94,6 +95,13 @@
                          size_t size, struct base_error *err);
 void node_settings_finish(struct node_settings *settings);
 
+/* Bytes of the process's memory for what others may fill. */
+struct node_memory {
+    int64_t outputs; /* of the items that run here */
+};
+
+void node_memory_plan(int64_t memory_mb, struct node_memory *plan);
+
 /* The interfaces to the services around a site; see platform/adapter.h. */
 struct node_adapter {
     const struct platform_dialect *store;  /* key-value service */
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -15,6 +15,9 @@
     MAX_CORES = 4096,
     MIN_VALUE_BYTES = 4096, /* a page; a smaller store is a mistake */
     MAX_VALUE_BYTES = 64 << 20,
+    DEFAULT_MEMORY_MB = 256,
+    MIN_MEMORY_MB = 96, /* what a node needs without work, and some for it */
+    MAX_MEMORY_MB = 1 << 20,
     MAX_WINDOW_S = 3600,
     MAX_SLACK = 1000000,
     MAX_FOUND_CHARS = 60, /* shown of a refused name or value in an error */
@@ -24,11 +27,11 @@
  * error, so that a misspelt name does not silently leave a default in force.
  */
 static const char *const ROOT_MEMBERS[] = {
-    "name",     "zone",        "environment",  "http",     "control",
-    "bulk",     "data_folder", "trace_folder", "seeds",    "keys",
-    "platform", "policy",      "log_level",    "drain_ms", "batch_runner",
-    "grace_s",  "announce",    "source",       "site",     "cpu",
-    NULL,
+    "name",      "zone",        "environment",  "http",     "control",
+    "bulk",      "data_folder", "trace_folder", "seeds",    "keys",
+    "platform",  "policy",      "log_level",    "drain_ms", "batch_runner",
+    "grace_s",   "announce",    "source",       "site",     "cpu",
+    "memory_mb", NULL,
 };
 static const char *const SITE_MEMBERS[] = {"callers",
                                            "probes",
@@ -515,8 +518,11 @@
     settings->is_runner = runner == NULL || json_is_true(runner);
     settings->log_level = (enum base_log_level)(BASE_LOG_ERROR + level);
     settings->drain_ms = DEFAULT_DRAIN_MS;
+    settings->memory_mb = DEFAULT_MEMORY_MB;
     return read_number(root, "$", "drain_ms", 0, MAX_DRAIN_MS,
                        &settings->drain_ms, err) &&
+           read_number(root, "$", "memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB,
+                       &settings->memory_mb, err) &&
            read_grace(settings, root, err);
 }
 
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -118,6 +118,8 @@
          "$.site.cost_routing", "found 1", "true or false"},
         {"\"platform\"", "\"grace_s\":-1,\"platform\"", "$.grace_s",
          "found -1", "a number from 0"},
+        {"\"platform\"", "\"memory_mb\":64,\"platform\"", "$.memory_mb",
+         "found 64", "from 96 to 1048576"},
         {"}}", "}", "line 1", "column", "not valid JSON"},
     };
     for (const auto &row : cases) {
