Bound what a process holds for others by its configuration

Each body was collected whole and copied some five times, the home held text, parsed job and encoded writes of all jobs at once, and complete jobs stayed for ten minutes.

Change: memory_mb is divided among bodies, jobs at their runner, values of calls to the store, forwarded submissions and results in replies. Bodies wait unread for room, then get 503 with Retry-After; a job without room, or above 1 MiB away from its home, is stored without a runner and claimed later; complete jobs leave memory when it is needed. base/budget.h counts.

--- a/packages/base/test_base.cc
+++ b/packages/base/test_base.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "base/budget.h"
 #include "base/http_text.h"
 
 /* What these let pass is written into requests and stored as it is. */
@@ -249,3 +250,31 @@
     EXPECT_EQ(n_lines + n_left_out, 5001);
     EXPECT_GT(n_left_out, 0);
 }
+
+TEST(Budget, TakesWhatIsLeftAndAlwaysOneHolder)
+{
+    struct {
+        const char *name;
+        int64_t held;
+        int64_t wanted;
+        bool is_taken;
+    } cases[] = {
+        {"less than is left", 40, 50, true},
+        {"all that is left", 40, 60, true},
+        {"more than is left", 40, 61, false},
+        {"more than the whole, alone", 0, 200, true},
+        {"more than the whole, beside another", 1, 200, false},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        struct base_budget budget;
+        base_budget_init(&budget, 100);
+        base_budget_add(&budget, row.held);
+        EXPECT_EQ(base_budget_take(&budget, row.wanted), row.is_taken);
+        EXPECT_EQ(base_budget_used(&budget),
+                  row.held + (row.is_taken ? row.wanted : 0));
+        base_budget_give(&budget, row.held);
+        EXPECT_EQ(base_budget_used(&budget), row.is_taken ? row.wanted : 0);
+    }
+}
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -205,6 +205,7 @@
     front_reductions_init(front);
     front->open_by_operator =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    front_bodies_init(&front->bodies, desc->body_bytes);
     g_queue_init(&front->requests);
     g_queue_init(&front->raw_connections.open);
     front->place = place_new(&place_desc);
--- a/packages/front/front.h
+++ b/packages/front/front.h
@@ -62,7 +62,8 @@
     const struct front_site_address *site_addresses;
     int n_site_addresses;
     struct jobs *jobs;
-    bool cost_routing; /* estimates the work of requests for admission */
+    bool cost_routing;  /* estimates the work of requests for admission */
+    int64_t body_bytes; /* memory for bodies; 0: 48 MiB */
     /* A site's requests are admitted in the order in which callers first sent
      * them; see deadlines.h. */
     bool count_earlier_waits;
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -11,6 +11,7 @@
 #include <libwebsockets.h>
 
 #include "backends/backends.h"
+#include "base/budget.h"
 #include "front/deadlines.h"
 #include "front/http1.h"
 #include "front/protocol.h"
@@ -79,6 +80,24 @@
                      struct base_counters *counters);
 void front_cost_finish(struct front *front);
 
+/* ---- the memory of bodies (bodies.c) ---- */
+
+struct front_bodies {
+    struct base_budget small;
+    struct base_budget large;
+    GQueue waiting; /* of struct front_request, by body_wait: for `large` */
+};
+
+struct front_request;
+
+void front_bodies_init(struct front_bodies *bodies, int64_t limit);
+void front_body_begin(struct front_request *request);
+bool front_body_grow(struct front_request *request);
+bool front_body_answer(struct front_request *request, int64_t size);
+void front_body_closed(struct front_request *request);
+void front_body_end(struct front_request *request);
+void front_body_tick(struct front_request *request, int64_t now_ms);
+
 /* ---- the task (front.c) ---- */
 
 struct front {
@@ -112,7 +131,8 @@
     const struct front_protocol *protocol; /* NULL: Cardamompick's own API */
     struct front_raw_connections raw_connections;
     struct jobs *jobs; /* NULL: batch jobs of a site are not served */
-    GQueue requests;   /* of open struct front_request, by link */
+    struct front_bodies bodies;
+    GQueue requests;              /* of open struct front_request, by link */
     GHashTable *open_by_operator; /* name -> number of open requests */
     GHashTable *reductions;       /* see reductions.c */
     int n_calls;                  /* calls under way to other tasks */
@@ -224,7 +244,12 @@
     int64_t body_received;
     int64_t last_progress_ms; /* when bytes were last sent or received */
     bool is_body_complete;
-    bool is_paused; /* the body is not read for now */
+    bool is_paused;      /* the body is not read for now */
+    int64_t small_bytes; /* taken from front->bodies */
+    int64_t large_bytes;
+    int64_t body_room_ms; /* when room for the body was taken */
+    int64_t body_wait_ms; /* since when the body waits for room; 0: no */
+    GList body_wait;
     /* response */
     int status;                  /* 0: none yet */
     GPtrArray *response_headers; /* name with colon, value, ... */
--- a/packages/front/job.c
+++ b/packages/front/job.c
@@ -19,13 +19,28 @@
 static const struct front_fault UNCERTAIN = {
     504, BASE_MAY_HAVE_RUN, "server_error", "no_answer_from_the_store", 0};
 
+static void
+respond_refused(struct front_request *request, const char *text)
+{
+    front_add_retry_after(request, RETRY_AFTER_MS);
+    front_fail(request,
+               &(struct front_fault){503, BASE_NOT_RUN, "server_error",
+                                     "not_served_now", 0},
+               "%s", text);
+}
+
 static void
 respond_results(struct front_request *request,
                 const struct jobs_request *reply)
 {
     GString *text = request->front->protocol->encode_results(&reply->answer);
 
-    front_respond(request, 200, "application/json", text->str, text->len);
+    if (front_body_answer(request, (int64_t)text->len)) {
+        front_respond(request, 200, "application/json", text->str, text->len);
+    }
+    else {
+        respond_refused(request, "there is no memory for the results now");
+    }
     g_string_free(text, TRUE);
 }
 
@@ -44,6 +59,10 @@
         return;
     case JOBS_INPUT:
         bytes = g_bytes_get_data(reply->body, &size);
+        if (!front_body_answer(request, (int64_t)size)) {
+            respond_refused(request, "there is no memory for the body now");
+            return;
+        }
         front_respond(request, 200, "application/octet-stream",
                       bytes != NULL ? bytes : "", size);
         return;
@@ -55,16 +74,6 @@
     }
 }
 
-static void
-respond_refused(struct front_request *request, const char *text)
-{
-    front_add_retry_after(request, RETRY_AFTER_MS);
-    front_fail(request,
-               &(struct front_fault){503, BASE_NOT_RUN, "server_error",
-                                     "not_served_now", 0},
-               "%s", text);
-}
-
 static void
 respond(struct front_request *request, const struct jobs_request *reply)
 {
@@ -134,6 +143,9 @@
         request->id, request->body->str, request->body->len, &err);
     struct jobs_request *call;
 
+    /* The job has what it needs of it. */
+    g_string_free(request->body, TRUE);
+    request->body = g_string_new(NULL);
     request->class_name = "job";
     if (job == NULL) {
         front_fail(request, &FRONT_BAD_REQUEST, "%s", err.text);
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -54,6 +54,7 @@
     if (--request->references > 0) {
         return;
     }
+    front_body_end(request);
     g_free(request->id);
     g_free(request->path);
     g_free(request->query);
@@ -337,8 +338,10 @@
             handler->begin(request);
         }
         if (handler->body == NULL) {
-            request->body =
-                g_string_sized_new((gsize)MAX(request->body_expected, 0));
+            request->body = g_string_new(NULL);
+            if (request->status == 0 && !request->is_body_complete) {
+                front_body_begin(request);
+            }
         }
     }
     send_continue(request);
@@ -372,6 +375,13 @@
         lws_callback_on_writable(request->wsi);
         return;
     }
+    if (!front_body_grow(request)) {
+        return;
+    }
+    if (request->body->len == 0 && request->body_expected > 0) {
+        g_string_free(request->body, TRUE);
+        request->body = g_string_sized_new((gsize)request->body_expected);
+    }
     g_string_append_len(request->body, data, (gssize)size);
 }
 
@@ -456,6 +466,7 @@
     request->connection->request = NULL;
     request->wsi = NULL;
     g_queue_unlink(&front->requests, &request->link);
+    front_body_closed(request);
     front_admit_end(request);
     if (request->route != NULL) {
         if (request->route->handler->closed != NULL) {
@@ -506,6 +517,7 @@
 {
     int64_t silent_ms = now_ms - request->last_progress_ms;
 
+    front_body_tick(request, now_ms);
     if (is_body_overdue(request, now_ms)) {
         if (request->status != 0) {
             close_connection(request,
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -1,6 +1,7 @@
 #include "front/test_support.h"
 
 #include <atomic>
+#include <thread>
 
 extern "C" {
 #include "front/protocol.h"
@@ -86,6 +87,7 @@
     const char *prefix = "/a/";
     int max_attempts = 2;
     int64_t timeout_ms = 5000;
+    int64_t body_limit = 1000;
     int64_t gap_target_ms = 0;
     std::string address; /* for callers and probes */
     std::string metrics_address;
@@ -195,7 +197,7 @@
         site.routes = routes;
         site.n_routes = site.has_operators ? 2 : 1;
         site.header_bytes = 2000;
-        site.body_bytes = 1000;
+        site.body_bytes = body_limit;
         site.header_ms = 3000;
         site.idle_ms = 15000;
         struct world *made =
@@ -448,6 +450,71 @@
     EXPECT_EQ(seen, "abc");
 }
 
+/* Guards against processes that are ended for their memory by many large
+ * bodies at once. */
+TEST_F(Ingress, LargeBodiesWaitForRoomAndAreRefusedAfterAWhile)
+{
+    const std::string large(300000, 'x');
+    std::atomic<bool> is_released{false};
+    std::atomic<int> n_large{0};
+    struct test_server engine([&](int fd, const std::string &request) {
+        if (request.size() > large.size()) {
+            n_large++;
+            while (!is_released) {
+                g_usleep(1000);
+            }
+        }
+        serve_stream(fd, request);
+    });
+    desc.body_bytes = 1 << 20; /* of which one such body takes 600,000 */
+    body_limit = 400000;
+    timeout_ms = 10000;
+    begin({&engine});
+    std::vector<struct answer> answers(3);
+    std::vector<std::thread> callers;
+    auto call = [&](size_t i) {
+        callers.emplace_back(
+            [&, i] { answers[i] = ask(post("/a/x", large)); });
+    };
+    call(0);
+    for (int i = 0; i < 5000 && n_large < 1; i++) {
+        g_usleep(1000);
+    }
+    call(1);
+    g_usleep(100000);
+    EXPECT_EQ(ask(post("/a/x", "small")).status, 200);
+    callers[1].join();
+    EXPECT_EQ(answers[1].status, 503);
+    EXPECT_EQ(answers[1].headers.count("retry-after"), 1u);
+    EXPECT_EQ(n_large, 1);
+    call(2);
+    g_usleep(100000);
+    EXPECT_EQ(n_large, 1);
+    is_released = true;
+    callers[0].join();
+    callers[2].join();
+    EXPECT_EQ(answers[0].status, 200);
+    EXPECT_EQ(answers[2].status, 200);
+    EXPECT_EQ(n_large, 2);
+}
+
+/* A body whose size is not known at first takes room as it grows. */
+TEST_F(Ingress, AChunkedBodyWithoutRoomIsRefused)
+{
+    struct test_server engine(serve_stream);
+    desc.body_bytes = 1 << 20;
+    body_limit = 4 << 20;
+    begin({&engine});
+    std::string request =
+        "POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-id: q1\r\n"
+        "transfer-encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 8; i++) {
+        request += chunk(std::string(200000, 'x'));
+    }
+    EXPECT_EQ(ask(request + "0\r\n\r\n").status, 503);
+    EXPECT_EQ(ask(post("/a/x", "small")).status, 200);
+}
+
 TEST_F(Ingress, RejectsRequestsByCause)
 {
     struct test_server engine(serve_stream);
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -6,7 +6,8 @@
 struct claim {
     char id[JOBS_ID_SIZE];
     struct jobs_head head;
-    int64_t revision; /* of the head */
+    int64_t revision;   /* of the head */
+    int64_t held_bytes; /* taken from jobs->held */
     struct jobs_job *job;
     GPtrArray *results; /* of struct jobs_result; NULL: more than a page */
     struct jobs_checkpoint checkpoint;
@@ -27,6 +28,7 @@
 static void
 abort_claim(struct jobs *jobs, struct claim *claim, const char *why)
 {
+    base_budget_give(&jobs->held, claim->held_bytes);
     base_log(BASE_LOG_INFO, "jobs.claim_failed", "id=%s reason=\"%s\"",
              claim->id, why);
     g_hash_table_remove(jobs->pending_ids, claim->id);
@@ -37,6 +39,8 @@
 static void
 start_run(struct jobs *jobs, struct claim *claim, const struct platform_kv *kv)
 {
+    base_budget_give(&jobs->held,
+                     claim->held_bytes); /* the run takes its own */
     jobs_checkpoint_read(&claim->checkpoint, kv->entries);
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
@@ -101,7 +105,8 @@
     }
     /* The items that are left need none of the results. */
     prefix = jobs_checkpoint_key(claim->id, 0);
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, prefix),
+    jobs_kv_read(jobs, platform_kv_new(PLATFORM_LIST, prefix),
+                 jobs->limits->value_bytes,
                  (struct jobs_kv_callback){on_checkpoint, claim});
     g_free(prefix);
 }
@@ -126,6 +131,9 @@
     const char *data = g_bytes_get_data(text, &size);
     claim->job = jobs->decode(claim->id, data, size, err);
     g_bytes_unref(text);
+    if (claim->job != NULL) {
+        jobs_job_drop_text(claim->job);
+    }
     /* The head lists results by the index of their item. */
     return claim->job != NULL &&
            claim->job->items->len == claim->head.tokens->len;
@@ -146,7 +154,8 @@
     prefix = g_strconcat(JOBS_RESULTS_PREFIX, claim->id, "/", NULL);
     results = platform_kv_new(PLATFORM_LIST, prefix);
     results->limit = JOBS_PAGE_PIECES;
-    jobs_kv_send(jobs, results, (struct jobs_kv_callback){on_results, claim});
+    jobs_kv_read(jobs, results, jobs->limits->value_bytes,
+                 (struct jobs_kv_callback){on_results, claim});
     g_free(prefix);
 }
 
@@ -155,7 +164,8 @@
 {
     char *prefix = g_strconcat(JOBS_INPUT_PREFIX, claim->id, "/", NULL);
 
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, prefix),
+    jobs_kv_read(jobs, platform_kv_new(PLATFORM_LIST, prefix),
+                 jobs_input_bytes(jobs, &claim->head),
                  (struct jobs_kv_callback){on_input, claim});
     g_free(prefix);
 }
@@ -201,23 +211,33 @@
 }
 
 static struct claim *
-new_claim(struct jobs *jobs, const struct jobs_head *head, int64_t revision)
+new_claim(struct jobs *jobs, const struct jobs_head *head, int64_t revision,
+          int64_t held_bytes)
 {
     struct claim *claim = g_new0(struct claim, 1);
 
     g_strlcpy(claim->id, head->id, sizeof(claim->id));
     jobs_head_copy(&claim->head, head);
     claim->revision = revision;
+    claim->held_bytes = held_bytes;
     g_hash_table_add(jobs->pending_ids, g_strdup(claim->id));
     return claim;
 }
 
 /* Makes this node the runner of a job, in a new epoch, and then loads the
- * job. */
+ * job.  Without room for it the job is left for a later scan. */
 static void
 claim_job(struct jobs *jobs, const struct jobs_head *head, int64_t revision)
 {
-    jobs_with_lease(jobs, write_claim, new_claim(jobs, head, revision));
+    int64_t bytes = jobs_input_bytes(jobs, head);
+
+    if (!jobs_held_take(jobs, bytes)) {
+        base_log(BASE_LOG_INFO, "jobs.claim_delayed",
+                 "id=%s bytes=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT,
+                 head->id, bytes, base_budget_used(&jobs->held));
+        return;
+    }
+    jobs_with_lease(jobs, write_claim, new_claim(jobs, head, revision, bytes));
 }
 
 /* ---- checks of heads ---- */
@@ -239,7 +259,7 @@
     }
     if (strcmp(head->runner, jobs->runner) == 0) {
         /* The reply to the write that accepted or claimed it was lost. */
-        load_job(jobs, new_claim(jobs, head, revision));
+        load_job(jobs, new_claim(jobs, head, revision, 0));
     }
     else if (check->is_orphan && revision == check->revision) {
         claim_job(jobs, head, revision);
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -8,6 +8,8 @@
     LEASE_MS = 3000,
     STOP_WAIT_MS = 3000,     /* longest wait for calls to other tasks */
     ARCHIVE_BYTES = 8 << 20, /* results of ended jobs kept for readers */
+    INPUT_BYTES = 48 << 20,  /* defaults of the desc */
+    TRANSFER_BYTES = 8 << 20,
 };
 
 /* ---- jobs, requests, results ---- */
@@ -48,6 +50,16 @@
     g_free(job);
 }
 
+/* Frees the submitted text, once the job is stored. */
+void
+jobs_job_drop_text(struct jobs_job *job)
+{
+    if (job->text != NULL) {
+        g_bytes_unref(job->text);
+        job->text = NULL;
+    }
+}
+
 /* Adds an item, which the caller fills in; the job owns it. */
 struct jobs_item *
 jobs_job_add(struct jobs_job *job)
@@ -78,6 +90,9 @@
     if (request->answer.results != NULL) {
         g_ptr_array_free(request->answer.results, TRUE);
     }
+    if (request->answers != NULL) {
+        base_budget_give(request->answers, request->answer_bytes);
+    }
     if (request->body != NULL) {
         g_bytes_unref(request->body);
     }
@@ -407,6 +422,7 @@
     jobs_dispatch(jobs, now_ms);
     jobs_serve_waiting_reads(jobs, now_ms);
     free_stopped_runs(jobs);
+    base_counter_set(jobs->input_gauge, base_budget_used(&jobs->held));
     g_atomic_int_set(&jobs->is_idle,
                      are_all_listed(jobs) && jobs->n_running == 0 &&
                          g_hash_table_size(jobs->pending_ids) == 0);
@@ -474,6 +490,7 @@
     jobs->n_preemptions = base_counter(counters, "job_items_yielded_total");
     jobs->n_resumes = base_counter(counters, "job_items_resumed_total");
     jobs->running_gauge = base_gauge(counters, "job_items_running");
+    jobs->input_gauge = base_gauge(counters, "job_input_bytes");
 }
 
 static void
@@ -496,6 +513,13 @@
     make_counters(jobs, desc->counters);
     jobs_cost_init(jobs, desc->cost_routing, desc->counters);
     jobs_outputs_init(jobs, desc->output_bytes);
+    base_budget_init(&jobs->held,
+                     desc->input_bytes > 0 ? desc->input_bytes : INPUT_BYTES);
+    base_budget_init(&jobs->transfers, desc->transfer_bytes > 0
+                                           ? desc->transfer_bytes
+                                           : TRANSFER_BYTES);
+    base_budget_init(&jobs->answers, jobs->transfers.limit);
+    g_queue_init(&jobs->waiting_calls);
 }
 
 static bool
@@ -533,6 +557,7 @@
         .secret_key_file = desc->secret_key_file,
         .peer_keys_file = desc->peer_keys_file,
         .counters = desc->counters,
+        .submission_bytes = jobs->transfers.limit,
     };
 
     if (desc->rpc_address == NULL) {
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -25,6 +25,7 @@
 #define CARDAMOM_JOBS_H
 
 #include "base/base.h"
+#include "base/budget.h"
 #include "control/control.h"
 #include "platform/platform.h"
 
@@ -62,6 +63,7 @@
 
 struct jobs_job *jobs_job_new(const char *id);
 void jobs_job_free(struct jobs_job *job);
+void jobs_job_drop_text(struct jobs_job *job);
 struct jobs_item *jobs_job_add(struct jobs_job *job);
 
 bool jobs_is_valid_id(const char *id);
@@ -143,6 +145,8 @@
     /* reply */
     enum jobs_status status;
     struct jobs_answer answer;
+    struct base_budget *answers; /* that answer_bytes were taken from */
+    int64_t answer_bytes;
     GBytes *body; /* JOBS_INPUT */
     /* JOBS_REFUSED: the node that runs the job; empty: not known */
     char runner_node[MEMBERS_NAME_SIZE];
@@ -209,11 +213,14 @@
     const char *public_key_file;
     const char *secret_key_file;
     const char *peer_keys_file;
-    int64_t lease_ms;     /* lease of a runner; 0: 3,000 */
-    int64_t output_bytes; /* memory for the outputs of unfinished items; 0:
-                             48 MiB */
-    int64_t life;         /* start of the process, wall ms; 0: now.  The node's
-                             membership record must have the same. */
+    int64_t lease_ms;       /* lease of a runner; 0: 3,000 */
+    int64_t output_bytes;   /* memory for the outputs of unfinished items; 0:
+                               48 MiB */
+    int64_t input_bytes;    /* for jobs and their results; 0: 48 MiB */
+    int64_t transfer_bytes; /* for values to and from the key-value service at
+                               one time; 0: 8 MiB */
+    int64_t life; /* start of the process, wall ms; 0: now.  The node's
+                     membership record must have the same. */
 };
 
 struct jobs *jobs_start(const struct jobs_desc *desc, struct base_error *err);
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -20,6 +20,7 @@
  *   claim.c      claims of these jobs
  *   item.c       an attempt of one item at a backend server
  *   admission.c  admission requests for items
+ *   held.c       the memory of the jobs that this node runs
  *   outputs.c    the memory of the outputs of all items
  *   cost.c       estimates of the work of items
  *   events.c     collection of streams of server-sent events
@@ -127,13 +128,14 @@
      * node may have claimed the job.  Until that is known, results are not
      * served. */
     bool is_unconfirmed;
-    int n_checkpoint_pieces;      /* stored pieces of checkpoints, at most */
-    int64_t checkpoint_revision;  /* of the first of them */
-    int n_sent_pieces;            /* of the checkpoint sent last */
-    int n_references;             /* pending calls that refer to the run */
-    int64_t next_commit_ms;       /* earliest time of the next commit */
-    int64_t last_commit_ms;       /* or the start of the run */
-    int n_writes;                 /* pending commits and checkpoints */
+    int n_checkpoint_pieces;     /* stored pieces of checkpoints, at most */
+    int64_t checkpoint_revision; /* of the first of them */
+    int n_sent_pieces;           /* of the checkpoint sent last */
+    int n_references;            /* pending calls that refer to the run */
+    int64_t held_bytes;     /* of the job and `results`, from jobs->held */
+    int64_t next_commit_ms; /* earliest time of the next commit */
+    int64_t last_commit_ms; /* or the start of the run */
+    int n_writes;           /* pending commits and checkpoints */
     bool is_checkpoint_requested; /* an item or the last checkpoint failed */
     int64_t next_checkpoint_ms;   /* earliest time of the next checkpoint */
     int64_t checkpoint_events;    /* number of events in the last checkpoint */
@@ -195,8 +197,12 @@
     int n_admissions;          /* number of pending admission requests */
     int n_running;             /* number of items at servers */
     int n_calls;               /* pending calls to other tasks */
-    int64_t output_limit;      /* bytes of the outputs of unfinished items */
-    int64_t output_bytes;      /* their memory now */
+    struct base_budget held;   /* jobs that run here, and their results */
+    struct base_budget transfers; /* values of calls to the store */
+    struct base_budget answers;   /* results in replies */
+    GQueue waiting_calls; /* of struct pending_call (store.c): for transfers */
+    int64_t output_limit; /* bytes of the outputs of unfinished items */
+    int64_t output_bytes; /* their memory now */
     bool is_stopped;
     int is_draining; /* atomic */
     int is_idle;     /* atomic */
@@ -234,6 +240,7 @@
     struct base_counter *n_preemptions;
     struct base_counter *n_resumes;
     struct base_counter *running_gauge;
+    struct base_counter *input_gauge;
     struct base_counter *output_gauge;
     struct base_counter *n_outputs_cut;
 };
@@ -249,6 +256,8 @@
 
 void jobs_kv_send(struct jobs *jobs, struct platform_kv *kv,
                   struct jobs_kv_callback callback);
+void jobs_kv_read(struct jobs *jobs, struct platform_kv *kv, int64_t bytes,
+                  struct jobs_kv_callback callback);
 const struct platform_entry *jobs_kv_find_entry(const struct platform_kv *kv,
                                                 const char *key);
 void jobs_read_head(struct jobs *jobs, const char *id,
@@ -366,7 +375,8 @@
 void jobs_scan_stop(struct jobs *jobs);
 void jobs_check(struct jobs *jobs, struct jobs_request *request);
 void jobs_check_head(struct jobs *jobs, const struct jobs_check *check);
-void jobs_release_to_home(struct jobs *jobs, const struct jobs_run *run);
+void jobs_release_to_home(struct jobs *jobs, const struct jobs_head *head,
+                          int64_t revision);
 
 /* ---- admission.c and item.c ---- */
 
@@ -378,6 +388,15 @@
 void jobs_work_cancel(struct jobs_work *work);
 void jobs_preempt(void *task_state, uint64_t contract, int slots);
 
+/* ---- held.c ---- */
+
+int64_t jobs_job_bytes(const struct jobs_job *job);
+int64_t jobs_input_bytes(const struct jobs *jobs,
+                         const struct jobs_head *head);
+bool jobs_held_take(struct jobs *jobs, int64_t bytes);
+void jobs_held_update(struct jobs_run *run);
+void jobs_held_shrink(struct jobs *jobs);
+
 /* ---- outputs.c ---- */
 
 void jobs_outputs_init(struct jobs *jobs, int64_t limit);
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -22,27 +22,67 @@
                            result->size);
 }
 
-/* Fills in the answer from the results from the position `first` on. */
+/* Returns how many results from the position `at` on go into one reply, and
+ * their size. */
+static guint
+count_in_reply(const GPtrArray *results, guint at, size_t *size)
+{
+    guint n = 0;
+
+    *size = 0;
+    while (at + n < results->len) {
+        const struct jobs_result *result = results->pdata[at + n];
+        if (n > 0 && *size + result->size > MAX_REPLY_BYTES) {
+            break;
+        }
+        *size += result->size;
+        n++;
+    }
+    return n;
+}
+
+/* Takes room for the results of a reply, until the request is freed. */
+static bool
+take_room(struct jobs *jobs, struct jobs_request *request, size_t size)
+{
+    if (size == 0) {
+        return true;
+    }
+    if (!base_budget_take(&jobs->answers, (int64_t)size)) {
+        base_error_set(&request->err, BASE_FULL,
+                       "there is no memory for %zu bytes of results now",
+                       size);
+        return false;
+    }
+    request->answers = &jobs->answers;
+    request->answer_bytes += (int64_t)size;
+    return true;
+}
+
+/* Replies with the results from the position `first` on, or refuses while too
+ * many others are read. */
 static void
-fill_answer(struct jobs_request *request, int total, const GPtrArray *results,
-            int first)
+reply_results(struct jobs *jobs, struct jobs_request *request, int total,
+              const GPtrArray *results, int first)
 {
     struct jobs_answer *answer = &request->answer;
-    size_t size = 0;
+    guint at = (guint)MAX(request->after - first, 0);
+    size_t size;
+    guint n = count_in_reply(results, at, &size);
 
     answer->total = total;
+    if (!take_room(jobs, request, size)) {
+        g_strlcpy(request->runner_node, jobs->node,
+                  sizeof(request->runner_node));
+        jobs_reply(jobs, request, JOBS_REFUSED);
+        return;
+    }
     answer->results = g_ptr_array_new_with_free_func(jobs_result_free);
-    for (guint i = (guint)MAX(request->after - first, 0); i < results->len;
-         i++) {
-        const struct jobs_result *result = results->pdata[i];
-        if (answer->results->len > 0 &&
-            size + result->size > MAX_REPLY_BYTES) {
-            break;
-        }
-        g_ptr_array_add(answer->results, copy_result(result));
-        size += result->size;
+    for (guint i = 0; i < n; i++) {
+        g_ptr_array_add(answer->results, copy_result(results->pdata[at + i]));
     }
-    answer->next = request->after + (int)answer->results->len;
+    answer->next = request->after + (int)n;
+    jobs_reply(jobs, request, JOBS_OK);
 }
 
 /* Returns the run of a job that this node runs, or NULL.  Without a valid
@@ -70,20 +110,29 @@
                   void *context)
 {
     struct jobs_request *request = context;
+    char id[JOBS_ID_SIZE];
+    char *operator_name = NULL;
+    bool is_final;
+    int total;
 
     if (!stored->is_ok) {
         request->err = stored->err;
         jobs_reply(jobs, request, JOBS_REFUSED);
         return;
     }
-    fill_answer(request, request->answer.total, stored->results,
-                stored->first);
-    if (request->is_final && stored->is_all) {
-        jobs_archive_add(&jobs->archive, request->id, request->job_operator,
-                         request->answer.total,
+    total = request->answer.total;
+    is_final = request->is_final && stored->is_all;
+    if (is_final) {
+        /* The request may be gone after the reply. */
+        g_strlcpy(id, request->id, sizeof(id));
+        operator_name = g_strdup(request->job_operator);
+    }
+    reply_results(jobs, request, total, stored->results, stored->first);
+    if (is_final) {
+        jobs_archive_add(&jobs->archive, id, operator_name, total,
                          g_steal_pointer(&stored->results));
     }
-    jobs_reply(jobs, request, JOBS_OK);
+    g_free(operator_name);
 }
 
 /* Replies with results as they are stored. */
@@ -105,9 +154,8 @@
         reply_stored_results(jobs, request, &run->head);
         return;
     }
-    fill_answer(request, (int)run->job->items->len, run->results,
-                run->first_held);
-    jobs_reply(jobs, request, JOBS_OK);
+    reply_results(jobs, request, (int)run->job->items->len, run->results,
+                  run->first_held);
 }
 
 static const struct jobs_item *
@@ -167,11 +215,13 @@
 }
 
 static void
-read_stored_input(struct jobs *jobs, struct jobs_request *request)
+read_stored_input(struct jobs *jobs, struct jobs_request *request,
+                  const struct jobs_head *head)
 {
     char *key = g_strconcat(JOBS_INPUT_PREFIX, request->id, "/", NULL);
 
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, key),
+    jobs_kv_read(jobs, platform_kv_new(PLATFORM_LIST, key),
+                 jobs_input_bytes(jobs, head),
                  (struct jobs_kv_callback){on_input, request});
     g_free(key);
 }
@@ -288,15 +338,14 @@
         request->is_final = !jobs_head_is_open(head);
         if (head->listed->len <= (guint)request->after) {
             GPtrArray *none = g_ptr_array_new();
-            fill_answer(request, request->answer.total, none, 0);
+            reply_results(jobs, request, request->answer.total, none, 0);
             g_ptr_array_free(none, TRUE);
-            jobs_reply(jobs, request, JOBS_OK);
             return;
         }
         reply_stored_results(jobs, request, head);
         return;
     case JOBS_INPUT:
-        read_stored_input(jobs, request);
+        read_stored_input(jobs, request, head);
         return;
     case JOBS_END:
         end_job(jobs, request, head, revision);
@@ -461,8 +510,7 @@
         return;
     }
     if (run == NULL && archived != NULL) {
-        fill_answer(request, archived->n_items, archived->results, 0);
-        jobs_reply(jobs, request, JOBS_OK);
+        reply_results(jobs, request, archived->n_items, archived->results, 0);
         return;
     }
     if (run == NULL && !g_hash_table_contains(jobs->runs, request->id)) {
--- a/packages/jobs/record.c
+++ b/packages/jobs/record.c
@@ -106,6 +106,10 @@
         json_object_set_new(root, "operator",
                             base_json_text(head->operator_name));
     }
+    if (head->input_bytes > 0) {
+        json_object_set_new(root, "input_bytes",
+                            json_integer(head->input_bytes));
+    }
     if (head->config_revision > 0) {
         json_object_set_new(root, "config",
                             json_integer(head->config_revision));
@@ -209,6 +213,8 @@
     out->is_ended = json_is_true(json_object_get(root, "ended"));
     out->n_input_pieces =
         (int)json_integer_value(json_object_get(root, "input_pieces"));
+    out->input_bytes =
+        MAX(json_integer_value(json_object_get(root, "input_bytes")), 0);
     out->n_result_pieces =
         (int)json_integer_value(json_object_get(root, "result_pieces"));
     is_ok = read_lists(root, out);
--- a/packages/jobs/record.h
+++ b/packages/jobs/record.h
@@ -69,6 +69,9 @@
     int64_t epoch;                 /* incremented by each claim */
     bool is_ended;                 /* the client has ended the job */
     int n_input_pieces;
+    /* Memory that the job takes at its runner; 0: unknown, as an earlier
+     * version of this program wrote the head. */
+    int64_t input_bytes;
     int n_result_pieces;
     GArray *tokens; /* of int64_t, by item index */
     GArray *listed; /* of struct jobs_listed, by position */
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -26,6 +26,7 @@
     struct base_task task;
     struct wire_endpoint endpoint;
     struct jobs *jobs;
+    struct base_budget submissions; /* texts of other nodes' submissions */
 };
 
 /* ---- calls to other nodes ---- */
@@ -203,6 +204,7 @@
 struct incoming_call {
     struct jobs_rpc *rpc;
     struct wire_return return_to;
+    int64_t bytes; /* taken from rpc->submissions */
 };
 
 static void
@@ -245,6 +247,7 @@
     struct incoming_call *incoming = request->context;
 
     send_reply(rpc, &incoming->return_to, request);
+    base_budget_give(&rpc->submissions, incoming->bytes);
     g_free(incoming);
     jobs_request_free(request);
 }
@@ -300,6 +303,21 @@
     return request;
 }
 
+/* Refuses a submission for which there is no room; the sender accepts the job
+ * itself. */
+static void
+refuse_call(struct jobs_rpc *rpc, const struct wire_message *message,
+            const Jobs__Call *call)
+{
+    struct jobs_request *request = jobs_request_new(JOBS_SUBMIT, call->id);
+
+    request->status = JOBS_REFUSED;
+    base_error_set(&request->err, BASE_FULL,
+                   "there is no memory for the job now");
+    send_reply(rpc, &message->from, request);
+    jobs_request_free(request);
+}
+
 static void
 on_message(void *context, const struct wire_message *message)
 {
@@ -307,6 +325,7 @@
     Jobs__Call *call;
     struct jobs_request *request;
     struct incoming_call *incoming;
+    int64_t bytes;
 
     if (message->kind != RPC_CALL || message->from.request == 0) {
         return;
@@ -318,8 +337,15 @@
         jobs__call__free_unpacked(call, NULL);
         return;
     }
+    bytes = (int64_t)call->text.len;
+    if (bytes > 0 && !base_budget_take(&rpc->submissions, bytes)) {
+        refuse_call(rpc, message, call);
+        jobs__call__free_unpacked(call, NULL);
+        return;
+    }
     request = read_call(call);
     incoming = g_new0(struct incoming_call, 1);
+    incoming->bytes = bytes;
     incoming->rpc = rpc;
     incoming->return_to = message->from;
     request->context = incoming;
@@ -371,6 +397,7 @@
     };
 
     rpc->jobs = desc->jobs;
+    base_budget_init(&rpc->submissions, desc->submission_bytes);
     if (!wire_endpoint_init(&rpc->endpoint, &endpoint, err)) {
         g_free(rpc);
         return NULL;
--- a/packages/jobs/rpc.h
+++ b/packages/jobs/rpc.h
@@ -30,6 +30,9 @@
     const char *secret_key_file;
     const char *peer_keys_file;
     struct base_counters *counters;
+    /* Texts of submissions of other nodes at one time; further ones are
+     * refused. */
+    int64_t submission_bytes;
 };
 
 struct jobs_rpc *jobs_rpc_start(const struct jobs_rpc_desc *desc,
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -93,6 +93,7 @@
         init_work(run, (int)i);
     }
     mark_listed(run);
+    jobs_held_update(run);
     update_limits(run);
     g_hash_table_replace(jobs->runs, run->head.id, run);
     base_log(BASE_LOG_INFO, "jobs.running",
@@ -124,6 +125,7 @@
     for (guint i = 0; i < run->job->items->len; i++) {
         jobs_output_finish(&run->works[i]);
     }
+    base_budget_give(&run->jobs->held, run->held_bytes);
     g_free(run->works);
     jobs_job_free(run->job);
     jobs_head_finish(&run->head);
@@ -229,6 +231,7 @@
         jobs_output_drop(work);
     }
     g_ptr_array_extend_and_steal(run->results, results);
+    jobs_held_update(run);
     jobs_head_finish(&run->head);
     run->head = run->next_head;
     memset(&run->next_head, 0, sizeof(run->next_head));
@@ -237,9 +240,10 @@
     run->last_commit_ms = base_clock_ms();
     g_array_set_size(run->committing, 0);
     if (run->is_releasing) {
-        jobs_release_to_home(run->jobs, run);
+        jobs_release_to_home(run->jobs, &run->head, run->revision);
         jobs_run_stop(run, "released for another node to claim");
     }
+    jobs_held_shrink(run->jobs);
 }
 
 /* ---- changes of the head by other writers ---- */
--- a/packages/jobs/scan.c
+++ b/packages/jobs/scan.c
@@ -147,25 +147,26 @@
     }
 }
 
-/* Asks the home of a job that this node releases to claim it now. */
+/* Asks the home of a job that this node does not run, or runs no longer, to
+ * claim it now. */
 void
-jobs_release_to_home(struct jobs *jobs, const struct jobs_run *run)
+jobs_release_to_home(struct jobs *jobs, const struct jobs_head *head,
+                     int64_t revision)
 {
-    struct jobs_check check = {.revision = run->revision, .is_orphan = true};
+    struct jobs_check check = {.revision = revision, .is_orphan = true};
     struct jobs_request *call;
     int home;
 
     if (jobs->view == NULL) {
         return;
     }
-    home =
-        jobs_find_home(jobs, run->head.region, run->head.id, jobs->view->self);
+    home = jobs_find_home(jobs, head->region, head->id, jobs->view->self);
     if (home == WORLD_NONE) {
         return;
     }
     call = jobs_request_new(JOBS_CHECK, "");
     call->checks = g_array_new(FALSE, TRUE, sizeof(struct jobs_check));
-    g_strlcpy(check.id, run->head.id, sizeof(check.id));
+    g_strlcpy(check.id, head->id, sizeof(check.id));
     g_array_append_val(call->checks, check);
     deliver(jobs, jobs->view->nodes[home].name, call);
 }
--- a/packages/jobs/store.c
+++ b/packages/jobs/store.c
@@ -2,13 +2,21 @@
 
 #include <string.h>
 
-/* A pending call to the key-value service.  The task counts these in n_calls
- * and waits for them when it stops. */
+/* A call to the key-value service.  The task counts these in n_calls and waits
+ * for them when it stops.  The values of all calls at one time are bounded:
+ * each is copied and encoded several times on its way.  Calls that find no
+ * room wait in the order of arrival; those without large values don't. */
 struct pending_call {
     struct jobs *jobs;
+    struct platform_kv *kv;
+    int64_t bytes; /* of jobs->transfers */
     struct jobs_kv_callback callback;
 };
 
+enum { SMALL_BYTES = 16384 };
+
+static void send_waiting(struct jobs *jobs);
+
 static void
 on_kv_done(struct platform_kv *kv, void *task_state)
 {
@@ -23,23 +31,73 @@
                  base_verdict_name(kv->verdict), kv->err.text);
     }
     call->callback.on_done(jobs, kv, call->callback.context);
-    g_free(call);
     platform_kv_free(kv);
+    base_budget_give(&jobs->transfers, call->bytes);
+    g_free(call);
+    send_waiting(jobs);
 }
 
-/* Sends a call to the key-value service and takes ownership of kv.
- * callback.on_done runs on the jobs task; kv is freed after it returns. */
-void
-jobs_kv_send(struct jobs *jobs, struct platform_kv *kv,
-             struct jobs_kv_callback callback)
+static void
+send_waiting(struct jobs *jobs)
+{
+    struct pending_call *call;
+
+    while ((call = g_queue_peek_head(&jobs->waiting_calls)) != NULL &&
+           base_budget_take(&jobs->transfers, call->bytes)) {
+        g_queue_pop_head(&jobs->waiting_calls);
+        platform_kv_send(jobs->platform, call->kv, &jobs->task, on_kv_done);
+    }
+}
+
+static int64_t
+written_bytes(const struct platform_kv *kv)
+{
+    int64_t bytes =
+        kv->value != NULL ? (int64_t)g_bytes_get_size(kv->value) : 0;
+
+    for (guint i = 0; kv->op == PLATFORM_TXN && i < kv->writes->len; i++) {
+        const struct platform_write *write = kv->writes->pdata[i];
+        bytes +=
+            write->value != NULL ? (int64_t)g_bytes_get_size(write->value) : 0;
+    }
+    return bytes;
+}
+
+static void
+send_call(struct jobs *jobs, struct platform_kv *kv, int64_t bytes,
+          struct jobs_kv_callback callback)
 {
     struct pending_call *call = g_new0(struct pending_call, 1);
 
     call->jobs = jobs;
+    call->kv = kv;
+    call->bytes = bytes > SMALL_BYTES ? bytes : 0;
     call->callback = callback;
     kv->context = call;
     jobs->n_calls++;
-    platform_kv_send(jobs->platform, kv, &jobs->task, on_kv_done);
+    if (call->bytes == 0) {
+        platform_kv_send(jobs->platform, kv, &jobs->task, on_kv_done);
+        return;
+    }
+    g_queue_push_tail(&jobs->waiting_calls, call);
+    send_waiting(jobs);
+}
+
+/* Sends a read that returns about so many bytes, and takes ownership of kv.
+ * callback.on_done runs on the jobs task; kv is freed after it returns. */
+void
+jobs_kv_read(struct jobs *jobs, struct platform_kv *kv, int64_t bytes,
+             struct jobs_kv_callback callback)
+{
+    send_call(jobs, kv, bytes, callback);
+}
+
+/* Sends a write, or a read that returns little, in the same way. */
+void
+jobs_kv_send(struct jobs *jobs, struct platform_kv *kv,
+             struct jobs_kv_callback callback)
+{
+    send_call(jobs, kv, written_bytes(kv), callback);
 }
 
 /* ---- heads ---- */
--- a/packages/jobs/stored_results.c
+++ b/packages/jobs/stored_results.c
@@ -114,7 +114,8 @@
     kv->limit = JOBS_PAGE_PIECES;
     kv->after = g_strdup(after);
     g_free(prefix);
-    jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_page, read});
+    jobs_kv_read(jobs, kv, jobs->limits->value_bytes,
+                 (struct jobs_kv_callback){on_page, read});
 }
 
 /* Reads results of a job from a position on, as many as one call returns and
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -4,7 +4,12 @@
 
 /* Entries of the transaction that accepts a job, besides the pieces of its
  * text: the head, and conditions on it, on the ended head and on a refusal. */
-enum { HEAD_ENTRIES = 4 };
+enum {
+    HEAD_ENTRIES = 4,
+    /* A longer text is not sent to the job's home but stored without a runner:
+     * the home reads it from the store once it has room. */
+    MAX_FORWARDED_BYTES = 1 << 20,
+};
 
 /* A job that is being accepted.  The head is written on the condition that the
  * job has none.  This detects a job that was accepted before, and makes a
@@ -16,6 +21,8 @@
     char identity[JOBS_SUBMISSION_SIZE]; /* of the first request; or empty */
     int64_t token_limit; /* waiting tokens of the route; 0: no limit */
     int64_t waiting;     /* tokens that would wait, with this job's */
+    int64_t held_bytes;  /* taken from jobs->held; 0: this node will not be the
+                            runner */
 };
 
 static void
@@ -37,6 +44,7 @@
              submission->head.route, err != NULL ? err->text : "");
     g_hash_table_remove(jobs->submissions, submission->head.id);
     g_hash_table_remove(jobs->pending_ids, submission->head.id);
+    base_budget_give(&jobs->held, submission->held_bytes);
     for (guint i = 0; i < submission->requests->len; i++) {
         struct jobs_request *request = submission->requests->pdata[i];
         if (err != NULL) {
@@ -107,6 +115,20 @@
     finish_submission(jobs, submission, JOBS_REFUSED, &err);
 }
 
+/* Starts the run of an accepted job, or leaves the job to its home. */
+static void
+start_accepted(struct jobs *jobs, struct submission *submission,
+               int64_t revision)
+{
+    if (submission->head.runner[0] == '\0') {
+        jobs_release_to_home(jobs, &submission->head, revision);
+        return;
+    }
+    jobs_job_drop_text(submission->job);
+    jobs_run_start(jobs, g_steal_pointer(&submission->job), &submission->head,
+                   revision, NULL);
+}
+
 static void
 on_written(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
@@ -115,8 +137,7 @@
     switch (kv->status) {
     case PLATFORM_OK:
         base_counter_add(jobs->n_accepted, 1);
-        jobs_run_start(jobs, g_steal_pointer(&submission->job),
-                       &submission->head, kv->revision, NULL);
+        start_accepted(jobs, submission, kv->revision);
         finish_submission(jobs, submission, JOBS_OK, NULL);
         return;
     case PLATFORM_CONFLICT:
@@ -275,7 +296,7 @@
 
 static struct submission *
 new_submission(struct jobs *jobs, struct jobs_request *request,
-               const struct world_ingress *route)
+               const struct world_ingress *route, bool may_run)
 {
     struct submission *submission = g_new0(struct submission, 1);
     struct jobs_head *head = &submission->head;
@@ -296,7 +317,11 @@
     head->submitted_ms = base_wall_ms();
     head->config_revision = jobs->world->revision;
     head->epoch = 1;
-    g_strlcpy(head->runner, jobs->runner, sizeof(head->runner));
+    head->input_bytes = jobs_job_bytes(submission->job);
+    if (may_run && jobs_held_take(jobs, head->input_bytes)) {
+        submission->held_bytes = head->input_bytes;
+        g_strlcpy(head->runner, jobs->runner, sizeof(head->runner));
+    }
     for (guint i = 0; i < submission->job->items->len; i++) {
         const struct jobs_item *item = submission->job->items->pdata[i];
         g_array_append_val(head->tokens, item->tokens);
@@ -306,11 +331,12 @@
     return submission;
 }
 
-/* Accepts a job on this node.  The client does not wait for the node's lease:
- * scans leave the jobs of a live node alone until it had time to register. */
+/* Accepts a job on this node, as its runner if it may be and has room.  The
+ * client does not wait for the node's lease: scans leave the jobs of a live
+ * node alone until it had time to register. */
 static void
 submit_here(struct jobs *jobs, struct jobs_request *request,
-            const struct world_ingress *route)
+            const struct world_ingress *route, bool may_run)
 {
     struct submission *submission =
         g_hash_table_lookup(jobs->submissions, request->id);
@@ -338,7 +364,7 @@
         jobs_reply(jobs, request, JOBS_REFUSED);
         return;
     }
-    submission = new_submission(jobs, request, route);
+    submission = new_submission(jobs, request, route, may_run);
     if (submission->token_limit > 0) {
         jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, JOBS_HEAD_PREFIX),
                      (struct jobs_kv_callback){on_heads, submission});
@@ -366,7 +392,7 @@
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
     }
-    submit_here(jobs, request, route);
+    submit_here(jobs, request, route, true);
 }
 
 /* Decodes the text of a job that another node forwarded. */
@@ -428,6 +454,12 @@
         jobs_reply(jobs, request, JOBS_NOT_ALLOWED);
         return;
     }
+    if (!request->is_from_peer && home != WORLD_NONE &&
+        home != jobs->view->self &&
+        g_bytes_get_size(request->job->text) > MAX_FORWARDED_BYTES) {
+        submit_here(jobs, request, route, false);
+        return;
+    }
     if (!request->is_from_peer && home != WORLD_NONE) {
         base_random_id(request->submission, sizeof(request->submission));
         if (jobs_forward(jobs, request, home, on_home_reply)) {
@@ -435,5 +467,5 @@
         }
         request->submission[0] = '\0';
     }
-    submit_here(jobs, request, route);
+    submit_here(jobs, request, route, true);
 }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -618,6 +618,7 @@
     decltype(&decode) decode_job = decode;
     bool cost_routing = false;
     int64_t output_bytes = 0;
+    int64_t input_bytes = 0;
 
     explicit Site(test_server::script script = serve, int64_t limit = 0)
         : engine(script), limit(limit)
@@ -744,6 +745,7 @@
         desc.lease_ms = 600;
         desc.cost_routing = site.cost_routing;
         desc.output_bytes = site.output_bytes;
+        desc.input_bytes = site.input_bytes;
         desc.life = (int64_t)member().life;
         desc.rpc_address =
             member().address.empty() ? nullptr : member().address.c_str();
@@ -2788,6 +2790,46 @@
     EXPECT_GT(n_endless, N_ENDLESS);
 }
 
+/* Guards against processes that are ended for their memory by the jobs that
+ * they accept, and by the results that they keep for readers. */
+TEST(Jobs, JobsWithoutRoomStayInTheStoreUntilThereIsSome)
+{
+    enum { N_JOBS = 8, N_ITEMS = 40, LIMIT = 100000 };
+    std::atomic<bool> is_blocked{true};
+    Site site([&is_blocked](int fd, const std::string &request) {
+        while (is_blocked) {
+            g_usleep(1000);
+        }
+        serve(fd, request);
+    });
+    site.members[0].address = free_address();
+    site.members[1].address = free_address();
+    site.input_bytes = LIMIT; /* two jobs */
+    Node one(site, "n1");
+    Node two(site, "n2");
+    std::set<std::string> runners;
+    auto held = [&] {
+        return base_counter_value(
+            base_gauge(&site.counters, "job_input_bytes"));
+    };
+
+    for (int i = 0; i < N_JOBS; i++) {
+        std::string id = "j" + std::to_string(i);
+        ASSERT_EQ(one.submit(id.c_str(), item_ids(N_ITEMS)), JOBS_OK);
+        runners.insert(runner_of(id));
+    }
+    EXPECT_EQ(runners.count(""), 1u) << "all jobs have a runner";
+    EXPECT_LE(held(), LIMIT);
+    is_blocked = false;
+    for (int i = 0; i < N_JOBS; i++) {
+        std::string id = "j" + std::to_string(i);
+        EXPECT_EQ(as_set(two.wait_for(id.c_str(), N_ITEMS)).size(),
+                  (size_t)N_ITEMS)
+            << id;
+        EXPECT_LE(held(), LIMIT);
+    }
+}
+
 /* Reads results as clients do, page by page, until there are n; stops after
  * about ten seconds. */
 std::vector<std::string>
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -249,6 +249,8 @@
     }
     node_memory_plan(settings->memory_mb, &memory);
     desc.output_bytes = memory.outputs;
+    desc.input_bytes = memory.inputs;
+    desc.transfer_bytes = memory.transfers;
     node->jobs = jobs_start(&desc, err);
     return node->jobs != NULL;
 }
@@ -288,6 +290,7 @@
         {settings->site.probes, FRONT_SERVES_PROBES},
         {settings->site.metrics, FRONT_SERVES_METRICS},
     };
+    struct node_memory memory;
     struct front_desc desc = {
         .node = settings->name,
         .zone = settings->zone,
@@ -304,6 +307,8 @@
         .count_earlier_waits = settings->site.count_earlier_waits,
     };
 
+    node_memory_plan(settings->memory_mb, &memory);
+    desc.body_bytes = memory.bodies;
     desc.n_site_addresses =
         merge_addresses(addresses, G_N_ELEMENTS(addresses));
     node->front = front_start(&desc, err);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -97,7 +97,10 @@
 
 /* Bytes of the process's memory for what others may fill. */
 struct node_memory {
-    int64_t outputs; /* of the items that run here */
+    int64_t outputs;   /* of the items that run here */
+    int64_t inputs;    /* of the jobs that run here, and their results */
+    int64_t transfers; /* to and from the key-value service, at one time */
+    int64_t bodies;    /* of callers' requests */
 };
 
 void node_memory_plan(int64_t memory_mb, struct node_memory *plan);
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -141,3 +141,18 @@
             << row.allowed << " vs " << err.text;
     }
 }
+
+/* The parts of what others can fill must leave room for the program and for
+ * the copies that are made of them. */
+TEST(NodeMemory, PartsLeaveRoomForTheRest)
+{
+    for (int64_t memory_mb : {96, 160, 256, 300, 4096}) {
+        SCOPED_TRACE(memory_mb);
+        struct node_memory plan;
+        node_memory_plan(memory_mb, &plan);
+        EXPECT_GT(plan.transfers, 1 << 20);
+        EXPECT_LE(plan.outputs + plan.inputs + plan.bodies +
+                      5 * plan.transfers,
+                  (memory_mb - 64) << 20);
+    }
+}
