Keep the budget of replies while requests refer to it

Cause: the address sanitizer: a request that is freed after the jobs task has stopped gives its bytes back to freed memory. Small results competed with large bodies for room besides, and the formatter had changed generated files.

--- a/packages/front/bodies.c
+++ b/packages/front/bodies.c
@@ -75,7 +75,7 @@
 
     if (request->body_expected <= SMALL_BYTES) {
         if (base_budget_take(&bodies->small, bytes)) {
-            request->small_bytes = bytes;
+            request->small_bytes += bytes;
         }
         else {
             refuse(request);
@@ -116,11 +116,18 @@
 }
 
 /* Takes room for a response that waits for its reader; returns whether there
- * was any. */
+ * was any.  Small ones don't compete with large bodies. */
 bool
 front_body_answer(struct front_request *request, int64_t size)
 {
-    return take_large(request, size);
+    if (size > SMALL_BYTES) {
+        return take_large(request, size);
+    }
+    if (!base_budget_take(&request->front->bodies.small, size)) {
+        return false;
+    }
+    request->small_bytes += size;
+    return true;
 }
 
 static void
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -92,6 +92,7 @@
     }
     if (request->answers != NULL) {
         base_budget_give(request->answers, request->answer_bytes);
+        g_atomic_rc_box_release(request->answers);
     }
     if (request->body != NULL) {
         g_bytes_unref(request->body);
@@ -518,7 +519,8 @@
     base_budget_init(&jobs->transfers, desc->transfer_bytes > 0
                                            ? desc->transfer_bytes
                                            : TRANSFER_BYTES);
-    base_budget_init(&jobs->answers, jobs->transfers.limit);
+    jobs->answers = g_atomic_rc_box_new0(struct base_budget);
+    base_budget_init(jobs->answers, jobs->transfers.limit);
     g_queue_init(&jobs->waiting_calls);
 }
 
@@ -584,6 +586,7 @@
     g_hash_table_destroy(jobs->pending_ids);
     g_hash_table_destroy(jobs->runners);
     jobs_archive_finish(&jobs->archive);
+    g_atomic_rc_box_release(jobs->answers);
     g_hash_table_destroy(jobs->submissions);
     g_hash_table_destroy(jobs->missing_since);
     g_hash_table_destroy(jobs->orphaned_since);
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -145,7 +145,7 @@
     /* reply */
     enum jobs_status status;
     struct jobs_answer answer;
-    struct base_budget *answers; /* that answer_bytes were taken from */
+    struct base_budget *answers; /* a reference; answer_bytes are taken */
     int64_t answer_bytes;
     GBytes *body; /* JOBS_INPUT */
     /* JOBS_REFUSED: the node that runs the job; empty: not known */
--- a/packages/jobs/jobs.pb-c.c
+++ b/packages/jobs/jobs.pb-c.c
@@ -7,375 +7,525 @@
 #endif
 
 #include "jobs.pb-c.h"
-void
-jobs__check__init(Jobs__Check *message)
+void   jobs__check__init
+                     (Jobs__Check         *message)
 {
-    static const Jobs__Check init_value = JOBS__CHECK__INIT;
-    *message = init_value;
+  static const Jobs__Check init_value = JOBS__CHECK__INIT;
+  *message = init_value;
 }
-size_t
-jobs__check__get_packed_size(const Jobs__Check *message)
+size_t jobs__check__get_packed_size
+                     (const Jobs__Check *message)
 {
-    assert(message->base.descriptor == &jobs__check__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &jobs__check__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-jobs__check__pack(const Jobs__Check *message, uint8_t *out)
+size_t jobs__check__pack
+                     (const Jobs__Check *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &jobs__check__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &jobs__check__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-jobs__check__pack_to_buffer(const Jobs__Check *message,
-                            ProtobufCBuffer *buffer)
+size_t jobs__check__pack_to_buffer
+                     (const Jobs__Check *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &jobs__check__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &jobs__check__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Jobs__Check *
-jobs__check__unpack(ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       jobs__check__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Jobs__Check *)protobuf_c_message_unpack(&jobs__check__descriptor,
-                                                    allocator, len, data);
+  return (Jobs__Check *)
+     protobuf_c_message_unpack (&jobs__check__descriptor,
+                                allocator, len, data);
 }
-void
-jobs__check__free_unpacked(Jobs__Check *message, ProtobufCAllocator *allocator)
+void   jobs__check__free_unpacked
+                     (Jobs__Check *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &jobs__check__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jobs__check__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-jobs__call__init(Jobs__Call *message)
+void   jobs__call__init
+                     (Jobs__Call         *message)
 {
-    static const Jobs__Call init_value = JOBS__CALL__INIT;
-    *message = init_value;
+  static const Jobs__Call init_value = JOBS__CALL__INIT;
+  *message = init_value;
 }
-size_t
-jobs__call__get_packed_size(const Jobs__Call *message)
+size_t jobs__call__get_packed_size
+                     (const Jobs__Call *message)
 {
-    assert(message->base.descriptor == &jobs__call__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &jobs__call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-jobs__call__pack(const Jobs__Call *message, uint8_t *out)
+size_t jobs__call__pack
+                     (const Jobs__Call *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &jobs__call__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &jobs__call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-jobs__call__pack_to_buffer(const Jobs__Call *message, ProtobufCBuffer *buffer)
+size_t jobs__call__pack_to_buffer
+                     (const Jobs__Call *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &jobs__call__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &jobs__call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Jobs__Call *
-jobs__call__unpack(ProtobufCAllocator *allocator, size_t len,
-                   const uint8_t *data)
+       jobs__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Jobs__Call *)protobuf_c_message_unpack(&jobs__call__descriptor,
-                                                   allocator, len, data);
+  return (Jobs__Call *)
+     protobuf_c_message_unpack (&jobs__call__descriptor,
+                                allocator, len, data);
 }
-void
-jobs__call__free_unpacked(Jobs__Call *message, ProtobufCAllocator *allocator)
+void   jobs__call__free_unpacked
+                     (Jobs__Call *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &jobs__call__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jobs__call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-jobs__reply__init(Jobs__Reply *message)
+void   jobs__reply__init
+                     (Jobs__Reply         *message)
 {
-    static const Jobs__Reply init_value = JOBS__REPLY__INIT;
-    *message = init_value;
+  static const Jobs__Reply init_value = JOBS__REPLY__INIT;
+  *message = init_value;
 }
-size_t
-jobs__reply__get_packed_size(const Jobs__Reply *message)
+size_t jobs__reply__get_packed_size
+                     (const Jobs__Reply *message)
 {
-    assert(message->base.descriptor == &jobs__reply__descriptor);
-    return protobuf_c_message_get_packed_size(
-        (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &jobs__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-jobs__reply__pack(const Jobs__Reply *message, uint8_t *out)
+size_t jobs__reply__pack
+                     (const Jobs__Reply *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &jobs__reply__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &jobs__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-jobs__reply__pack_to_buffer(const Jobs__Reply *message,
-                            ProtobufCBuffer *buffer)
+size_t jobs__reply__pack_to_buffer
+                     (const Jobs__Reply *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &jobs__reply__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
-                                             buffer);
+  assert(message->base.descriptor == &jobs__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Jobs__Reply *
-jobs__reply__unpack(ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       jobs__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (Jobs__Reply *)protobuf_c_message_unpack(&jobs__reply__descriptor,
-                                                    allocator, len, data);
+  return (Jobs__Reply *)
+     protobuf_c_message_unpack (&jobs__reply__descriptor,
+                                allocator, len, data);
 }
-void
-jobs__reply__free_unpacked(Jobs__Reply *message, ProtobufCAllocator *allocator)
+void   jobs__reply__free_unpacked
+                     (Jobs__Reply *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &jobs__reply__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jobs__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor jobs__check__field_descriptors[3] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Check, id), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-        0,                                              /* quantifier_offset */
-        offsetof(Jobs__Check, revision), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "is_orphan", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Check, is_orphan), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned jobs__check__field_indices_by_name[] = {
-    0, /* field[0] = id */
-    2, /* field[2] = is_orphan */
-    1, /* field[1] = revision */
-};
-static const ProtobufCIntRange jobs__check__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 3}};
-const ProtobufCMessageDescriptor jobs__check__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "jobs.Check",
-    "Check",
-    "Jobs__Check",
-    "jobs",
-    sizeof(Jobs__Check),
-    3,
-    jobs__check__field_descriptors,
-    jobs__check__field_indices_by_name,
+static const ProtobufCFieldDescriptor jobs__check__field_descriptors[3] =
+{
+  {
+    "id",
     1,
-    jobs__check__number_ranges,
-    (ProtobufCMessageInit)jobs__check__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Check, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Check, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_orphan",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Check, is_orphan),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor jobs__call__field_descriptors[14] = {
-    {
-        "op", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                       /* quantifier_offset */
-        offsetof(Jobs__Call, op), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                            /* reserved1,reserved2, etc */
-    },
-    {
-        "id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, id), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "item", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, item), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "after", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-        0,                                          /* quantifier_offset */
-        offsetof(Jobs__Call, after), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "wait_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-        0,                                            /* quantifier_offset */
-        offsetof(Jobs__Call, wait_ms), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "host", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, host), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "path", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, path), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "text", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-        0,                                         /* quantifier_offset */
-        offsetof(Jobs__Call, text), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "checks", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Jobs__Call, n_checks), offsetof(Jobs__Call, checks),
-        &jobs__check__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                      /* reserved1,reserved2, etc */
-    },
-    {
-        "region", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, region), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "revision", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-        0,                                             /* quantifier_offset */
-        offsetof(Jobs__Call, revision), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "submission", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, submission), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "operator_name", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, operator_name), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "config_revision", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Call, config_revision), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+static const unsigned jobs__check__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = is_orphan */
+  1,   /* field[1] = revision */
 };
-static const unsigned jobs__call__field_indices_by_name[] = {
-    3,  /* field[3] = after */
-    8,  /* field[8] = checks */
-    13, /* field[13] = config_revision */
-    5,  /* field[5] = host */
-    1,  /* field[1] = id */
-    2,  /* field[2] = item */
-    0,  /* field[0] = op */
-    12, /* field[12] = operator_name */
-    6,  /* field[6] = path */
-    9,  /* field[9] = region */
-    10, /* field[10] = revision */
-    11, /* field[11] = submission */
-    7,  /* field[7] = text */
-    4,  /* field[4] = wait_ms */
+static const ProtobufCIntRange jobs__check__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] = {{1, 0},
-                                                                   {0, 14}};
-const ProtobufCMessageDescriptor jobs__call__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "jobs.Call",
-    "Call",
-    "Jobs__Call",
-    "jobs",
-    sizeof(Jobs__Call),
-    14,
-    jobs__call__field_descriptors,
-    jobs__call__field_indices_by_name,
+const ProtobufCMessageDescriptor jobs__check__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jobs.Check",
+  "Check",
+  "Jobs__Check",
+  "jobs",
+  sizeof(Jobs__Check),
+  3,
+  jobs__check__field_descriptors,
+  jobs__check__field_indices_by_name,
+  1,  jobs__check__number_ranges,
+  (ProtobufCMessageInit) jobs__check__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jobs__call__field_descriptors[14] =
+{
+  {
+    "op",
     1,
-    jobs__call__number_ranges,
-    (ProtobufCMessageInit)jobs__call__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, op),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "item",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, item),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checks",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jobs__Call, n_checks),
+    offsetof(Jobs__Call, checks),
+    &jobs__check__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, region),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, revision),
     NULL,
-    NULL /* reserved[123] */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submission",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, submission),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_name",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, operator_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor jobs__reply__field_descriptors[7] = {
-    {
-        "status", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                            /* quantifier_offset */
-        offsetof(Jobs__Reply, status), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "total", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-        0,                                           /* quantifier_offset */
-        offsetof(Jobs__Reply, total), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "next", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-        0,                                          /* quantifier_offset */
-        offsetof(Jobs__Reply, next), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "results", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-        0,                                             /* quantifier_offset */
-        offsetof(Jobs__Reply, results), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "body", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-        0,                                          /* quantifier_offset */
-        offsetof(Jobs__Reply, body), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "runner", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Reply, runner), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "error", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(Jobs__Reply, error), NULL, &protobuf_c_empty_string,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+static const unsigned jobs__call__field_indices_by_name[] = {
+  3,   /* field[3] = after */
+  8,   /* field[8] = checks */
+  13,   /* field[13] = config_revision */
+  5,   /* field[5] = host */
+  1,   /* field[1] = id */
+  2,   /* field[2] = item */
+  0,   /* field[0] = op */
+  12,   /* field[12] = operator_name */
+  6,   /* field[6] = path */
+  9,   /* field[9] = region */
+  10,   /* field[10] = revision */
+  11,   /* field[11] = submission */
+  7,   /* field[7] = text */
+  4,   /* field[4] = wait_ms */
 };
-static const unsigned jobs__reply__field_indices_by_name[] = {
-    4, /* field[4] = body */
-    6, /* field[6] = error */
-    2, /* field[2] = next */
-    3, /* field[3] = results */
-    5, /* field[5] = runner */
-    0, /* field[0] = status */
-    1, /* field[1] = total */
+static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
 };
-static const ProtobufCIntRange jobs__reply__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 7}};
-const ProtobufCMessageDescriptor jobs__reply__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "jobs.Reply",
-    "Reply",
-    "Jobs__Reply",
-    "jobs",
-    sizeof(Jobs__Reply),
-    7,
-    jobs__reply__field_descriptors,
-    jobs__reply__field_indices_by_name,
+const ProtobufCMessageDescriptor jobs__call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jobs.Call",
+  "Call",
+  "Jobs__Call",
+  "jobs",
+  sizeof(Jobs__Call),
+  14,
+  jobs__call__field_descriptors,
+  jobs__call__field_indices_by_name,
+  1,  jobs__call__number_ranges,
+  (ProtobufCMessageInit) jobs__call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jobs__reply__field_descriptors[7] =
+{
+  {
+    "status",
     1,
-    jobs__reply__number_ranges,
-    (ProtobufCMessageInit)jobs__reply__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, status),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, total),
     NULL,
-    NULL /* reserved[123] */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, results),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Reply, error),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jobs__reply__field_indices_by_name[] = {
+  4,   /* field[4] = body */
+  6,   /* field[6] = error */
+  2,   /* field[2] = next */
+  3,   /* field[3] = results */
+  5,   /* field[5] = runner */
+  0,   /* field[0] = status */
+  1,   /* field[1] = total */
+};
+static const ProtobufCIntRange jobs__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor jobs__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jobs.Reply",
+  "Reply",
+  "Jobs__Reply",
+  "jobs",
+  sizeof(Jobs__Reply),
+  7,
+  jobs__reply__field_descriptors,
+  jobs__reply__field_indices_by_name,
+  1,  jobs__reply__number_ranges,
+  (ProtobufCMessageInit) jobs__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -199,7 +199,9 @@
     int n_calls;               /* pending calls to other tasks */
     struct base_budget held;   /* jobs that run here, and their results */
     struct base_budget transfers; /* values of calls to the store */
-    struct base_budget answers;   /* results in replies */
+    /* Of results in replies; a counted reference, since requests may be freed
+     * after the task. */
+    struct base_budget *answers;
     GQueue waiting_calls; /* of struct pending_call (store.c): for transfers */
     int64_t output_limit; /* bytes of the outputs of unfinished items */
     int64_t output_bytes; /* their memory now */
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -48,14 +48,14 @@
     if (size == 0) {
         return true;
     }
-    if (!base_budget_take(&jobs->answers, (int64_t)size)) {
+    if (!base_budget_take(jobs->answers, (int64_t)size)) {
         base_error_set(&request->err, BASE_FULL,
                        "there is no memory for %zu bytes of results now",
                        size);
         return false;
     }
-    request->answers = &jobs->answers;
-    request->answer_bytes += (int64_t)size;
+    request->answers = g_atomic_rc_box_acquire(jobs->answers);
+    request->answer_bytes = (int64_t)size;
     return true;
 }
 
