Wait for the home of a large job in its test

Cause: AJobTooLargeForTheStoreIsRejectedAndOthersReachTheirHome read the runner at once after the answer. Since a job above 1 MiB is stored without a runner and claimed by its home a little later, that is a race; it failed once, under the address sanitizer.

Change: the test waits up to ten seconds for a runner and then demands the same one as before, the home. A rejected job must have none at once, as before.

--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -2909,6 +2909,17 @@
     }
 }
 
+/* Returns the runner of a job once it has one; stops after about ten
+ * seconds. */
+std::string
+wait_for_runner(const std::string &id)
+{
+    for (int i = 0; i < 1000 && runner_of(id).empty(); i++) {
+        g_usleep(10000);
+    }
+    return runner_of(id);
+}
+
 /* Guards against jobs that the store can never take and that clients hand in
  * again and again, and against messages that close the connection between
  * nodes: both were answered as if the job could be served later. */
@@ -2944,7 +2955,12 @@
         request->job->path = g_strdup("/b/x");
         EXPECT_EQ(two.call(request), row.want);
         EXPECT_EQ(site.store.n_rejected, 0);
-        EXPECT_EQ(runner_of(id), row.want == JOBS_OK ? "n1#1" : "");
+        if (row.want == JOBS_OK) {
+            EXPECT_EQ(wait_for_runner(id), "n1#1");
+        }
+        else {
+            EXPECT_EQ(runner_of(id), "");
+        }
     }
 }
 
