Say memory where it is memory

Cause: the new code called memory, and parts of it, by a figurative word, also in a code that callers see.

Change: names and comments; the error code of a body without memory is no_memory_for_the_body. No behaviour changes.

--- a/packages/front/bodies.c
+++ b/packages/front/bodies.c
@@ -1,10 +1,10 @@
 #include "front/front_private.h"
 
 /* The memory of callers' bodies and of the results that wait for their
- * readers.  A large body is read only once there is room for it, in the order
- * of arrival; until then its bytes stay with the caller.  Small ones have a
- * part of their own, so that they never wait for large ones, and are refused
- * at once when it is full. */
+ * readers.  A large body is read only once there is memory for it, in the
+ * order of arrival; until then its bytes stay with the caller.  Small ones
+ * have a part of their own, so that they never wait for large ones, and are
+ * refused at once when it is full. */
 enum {
     DEFAULT_LIMIT_BYTES = 48 << 20,
     SMALL_BYTES = 65536,
@@ -15,15 +15,15 @@
     /* Of a job: the body, its parsed form, the items and the message to the
      * node that runs the job. */
     JOB_COPIES = 3,
-    MAX_WAIT_MS = 2000, /* for room; then the caller is to come again */
+    MAX_WAIT_MS = 2000, /* for memory; then the caller is to come again */
     /* A body that others wait for has to arrive within MAX_WAIT_MS and its
      * size at this rate. */
     BYTES_PER_MS = 1024,
     RETRY_AFTER_MS = 500,
 };
 
-static const struct front_fault NO_ROOM = {503, BASE_NOT_RUN, "server_error",
-                                           "no_room_for_the_body", 0};
+static const struct front_fault NO_MEMORY = {503, BASE_NOT_RUN, "server_error",
+                                             "no_memory_for_the_body", 0};
 
 /* Prepares the budgets; limit in bytes, 0: 48 MiB. */
 void
@@ -41,7 +41,7 @@
 {
     front_request_pause_body(request, false); /* the rest is dropped */
     front_add_retry_after(request, RETRY_AFTER_MS);
-    front_fail(request, &NO_ROOM,
+    front_fail(request, &NO_MEMORY,
                "there is no memory for a body of %" G_GINT64_FORMAT
                " bytes now",
                MAX(request->body_expected, request->body_received));
@@ -61,12 +61,12 @@
         return false;
     }
     request->large_bytes += bytes;
-    request->body_room_ms = base_clock_ms();
+    request->body_taken_ms = base_clock_ms();
     return true;
 }
 
-/* Takes room for the body of a request whose head has arrived; the body may
- * have to wait.  Refuses the request if a small body finds no room. */
+/* Takes memory for the body of a request whose head has arrived; the body may
+ * have to wait.  Refuses the request if a small body finds none. */
 void
 front_body_begin(struct front_request *request)
 {
@@ -94,7 +94,7 @@
     front_request_pause_body(request, true);
 }
 
-/* Takes room for a body of unknown length as it grows.  Refuses the request
+/* Takes memory for a body of unknown length as it grows.  Refuses the request
  * if there is none, and returns false. */
 bool
 front_body_grow(struct front_request *request)
@@ -105,7 +105,7 @@
     if (bytes <= 0 || !request->is_chunked) {
         return true;
     }
-    /* Doubled, so that a long body takes room a few times only. */
+    /* Doubled, so that a long body takes memory a few times only. */
     if (take_large(request, MAX(2 * bytes, SMALL_BYTES))) {
         return true;
     }
@@ -115,7 +115,7 @@
     return false;
 }
 
-/* Takes room for a response that waits for its reader; returns whether there
+/* Takes memory for a response that waits for its reader; returns whether there
  * was any.  Small ones don't compete with large bodies. */
 bool
 front_body_answer(struct front_request *request, int64_t size)
@@ -139,7 +139,7 @@
     }
 }
 
-/* Lets waiting bodies be read for which there is room. */
+/* Lets waiting bodies be read for which there is memory. */
 static void
 resume_waiting(struct front *front)
 {
@@ -153,7 +153,7 @@
     }
 }
 
-/* Gives back the room of a request that is freed. */
+/* Gives back the memory of a request that is freed. */
 void
 front_body_end(struct front_request *request)
 {
@@ -171,7 +171,7 @@
     stop_waiting(request);
 }
 
-/* Refuses a request that has waited too long for room, or whose body arrives
+/* Refuses a request that has waited too long for memory, or whose body arrives
  * too slowly while others wait. */
 void
 front_body_tick(struct front_request *request, int64_t now_ms)
@@ -181,7 +181,7 @@
                       now_ms >= request->body_wait_ms + MAX_WAIT_MS;
     bool is_slow = request->large_bytes > 0 && !request->is_body_complete &&
                    bodies->waiting.length > 0 &&
-                   now_ms - request->body_room_ms >
+                   now_ms - request->body_taken_ms >
                        MAX_WAIT_MS + request->body_expected / BYTES_PER_MS;
 
     if (request->status != 0 || (!has_waited && !is_slow)) {
--- a/packages/front/front_private.h
+++ b/packages/front/front_private.h
@@ -247,8 +247,8 @@
     bool is_paused;      /* the body is not read for now */
     int64_t small_bytes; /* taken from front->bodies */
     int64_t large_bytes;
-    int64_t body_room_ms; /* when room for the body was taken */
-    int64_t body_wait_ms; /* since when the body waits for room; 0: no */
+    int64_t body_taken_ms; /* when memory for the body was taken */
+    int64_t body_wait_ms;  /* since when the body waits for memory; 0: no */
     GList body_wait;
     /* response */
     int status;                  /* 0: none yet */
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -452,7 +452,7 @@
 
 /* Guards against processes that are ended for their memory by many large
  * bodies at once. */
-TEST_F(Ingress, LargeBodiesWaitForRoomAndAreRefusedAfterAWhile)
+TEST_F(Ingress, LargeBodiesWaitForMemoryAndAreRefusedAfterAWhile)
 {
     const std::string large(300000, 'x');
     std::atomic<bool> is_released{false};
@@ -498,8 +498,8 @@
     EXPECT_EQ(n_large, 2);
 }
 
-/* A body whose size is not known at first takes room as it grows. */
-TEST_F(Ingress, AChunkedBodyWithoutRoomIsRefused)
+/* A body whose size is not known at first takes memory as it grows. */
+TEST_F(Ingress, AChunkedBodyWithoutMemoryIsRefused)
 {
     struct test_server engine(serve_stream);
     desc.body_bytes = 1 << 20;
--- a/packages/jobs/admission.c
+++ b/packages/jobs/admission.c
@@ -316,7 +316,7 @@
         return;
     }
     while (jobs->n_admissions < MAX_ADMISSIONS &&
-           jobs_outputs_have_room(jobs) &&
+           jobs_outputs_admit_items(jobs) &&
            jobs->n_admissions + jobs->n_running < MAX_RUNNING &&
            (work = find_next_item(jobs, now_ms)) != NULL) {
         begin_admission(work, jobs_route_of(jobs, &work->run->head));
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -225,7 +225,7 @@
 }
 
 /* Makes this node the runner of a job, in a new epoch, and then loads the
- * job.  Without room for it the job is left for a later scan. */
+ * job.  Without memory for it the job is left for a later scan. */
 static void
 claim_job(struct jobs *jobs, const struct jobs_head *head, int64_t revision)
 {
--- a/packages/jobs/held.c
+++ b/packages/jobs/held.c
@@ -4,8 +4,9 @@
 
 /* The memory of the jobs that this node runs: their items and the results that
  * it holds for readers.  Results are stored, so those of complete jobs and
- * then those of open jobs are freed when there is no room; readers get them
- * from the store.  A job without room stays in the store without a runner. */
+ * then those of open jobs are freed when there is no memory; readers get them
+ * from the store.  A job without memory stays in the store without a runner.
+ */
 enum {
     ITEM_BYTES = 1024, /* an item and its state, without texts */
 };
@@ -93,9 +94,9 @@
     return base_budget_used(&jobs->held) + bytes > jobs->held.limit;
 }
 
-/* Frees what the store has too, until `bytes` more have room. */
+/* Frees what the store has too, until `bytes` more have memory. */
 static void
-make_room(struct jobs *jobs, int64_t bytes)
+free_stored(struct jobs *jobs, int64_t bytes)
 {
     GHashTableIter iter;
     gpointer value;
@@ -114,11 +115,11 @@
     }
 }
 
-/* Takes room for a job; returns false if there is none. */
+/* Takes memory for a job; returns false if there is none. */
 bool
 jobs_held_take(struct jobs *jobs, int64_t bytes)
 {
-    make_room(jobs, bytes);
+    free_stored(jobs, bytes);
     return base_budget_take(&jobs->held, bytes);
 }
 
@@ -126,5 +127,5 @@
 void
 jobs_held_shrink(struct jobs *jobs)
 {
-    make_room(jobs, 0);
+    free_stored(jobs, 0);
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -18,9 +18,10 @@
  * the job's id (home.h).  The home accepts the job and is its runner: it sends
  * the job's items to backend servers under batch contracts.  A long job, or
  * one that a node has no memory for, is stored without a runner, and a home
- * claims it once it has room.  A runner with open jobs holds a lease.  When a
- * runner stops, the next home claims its jobs and increments their epochs, so
- * that all later writes of the old runner fail and no result is listed twice.
+ * claims it once it has memory.  A runner with open jobs holds a lease.  When
+ * a runner stops, the next home claims its jobs and increments their epochs,
+ * so that all later writes of the old runner fail and no result is listed
+ * twice.
  */
 #ifndef CARDAMOM_JOBS_H
 #define CARDAMOM_JOBS_H
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -406,7 +406,7 @@
 void jobs_output_changed(struct jobs_work *work);
 void jobs_output_drop(struct jobs_work *work);
 void jobs_output_finish(struct jobs_work *work);
-bool jobs_outputs_have_room(const struct jobs *jobs);
+bool jobs_outputs_admit_items(const struct jobs *jobs);
 
 /* ---- cost.c ---- */
 
--- a/packages/jobs/outputs.c
+++ b/packages/jobs/outputs.c
@@ -119,7 +119,7 @@
  * always, since the outputs of waiting items are freed only when they have
  * run. */
 bool
-jobs_outputs_have_room(const struct jobs *jobs)
+jobs_outputs_admit_items(const struct jobs *jobs)
 {
     return jobs->output_bytes < jobs->output_limit / 2 ||
            jobs->n_running + jobs->n_admissions == 0;
--- a/packages/jobs/read.c
+++ b/packages/jobs/read.c
@@ -41,9 +41,9 @@
     return n;
 }
 
-/* Takes room for the results of a reply, until the request is freed. */
+/* Takes memory for the results of a reply, until the request is freed. */
 static bool
-take_room(struct jobs *jobs, struct jobs_request *request, size_t size)
+take_answer_bytes(struct jobs *jobs, struct jobs_request *request, size_t size)
 {
     if (size == 0) {
         return true;
@@ -71,7 +71,7 @@
     guint n = count_in_reply(results, at, &size);
 
     answer->total = total;
-    if (!take_room(jobs, request, size)) {
+    if (!take_answer_bytes(jobs, request, size)) {
         g_strlcpy(request->runner_node, jobs->node,
                   sizeof(request->runner_node));
         jobs_reply(jobs, request, JOBS_REFUSED);
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -303,8 +303,8 @@
     return request;
 }
 
-/* Refuses a submission for which there is no room; the sender accepts the job
- * itself. */
+/* Refuses a submission for which there is no memory; the sender accepts the
+ * job itself. */
 static void
 refuse_call(struct jobs_rpc *rpc, const struct wire_message *message,
             const Jobs__Call *call)
--- a/packages/jobs/store.c
+++ b/packages/jobs/store.c
@@ -5,7 +5,7 @@
 /* A call to the key-value service.  The task counts these in n_calls and waits
  * for them when it stops.  The values of all calls at one time are bounded:
  * each is copied and encoded several times on its way.  Calls that find no
- * room wait in the order of arrival; those without large values don't. */
+ * memory wait in the order of arrival; those without large values don't. */
 struct pending_call {
     struct jobs *jobs;
     struct platform_kv *kv;
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -7,7 +7,7 @@
 enum {
     HEAD_ENTRIES = 4,
     /* A longer text is not sent to the job's home but stored without a runner:
-     * the home reads it from the store once it has room. */
+     * the home reads it from the store once it has memory. */
     MAX_FORWARDED_BYTES = 1 << 20,
 };
 
@@ -331,7 +331,7 @@
     return submission;
 }
 
-/* Accepts a job on this node, as its runner if it may be and has room.  The
+/* Accepts a job on this node, as its runner if it may be and has memory.  The
  * client does not wait for the node's lease: scans leave the jobs of a live
  * node alone until it had time to register. */
 static void
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -2792,7 +2792,7 @@
 
 /* Guards against processes that are ended for their memory by the jobs that
  * they accept, and by the results that they keep for readers. */
-TEST(Jobs, JobsWithoutRoomStayInTheStoreUntilThereIsSome)
+TEST(Jobs, JobsWithoutMemoryStayInTheStoreUntilThereIsSome)
 {
     enum { N_JOBS = 8, N_ITEMS = 40, LIMIT = 100000 };
     std::atomic<bool> is_blocked{true};
--- a/packages/node/test_node.cc
+++ b/packages/node/test_node.cc
@@ -142,9 +142,9 @@
     }
 }
 
-/* The parts of what others can fill must leave room for the program and for
+/* The parts of what others can fill must leave memory for the program and for
  * the copies that are made of them. */
-TEST(NodeMemory, PartsLeaveRoomForTheRest)
+TEST(NodeMemory, PartsLeaveMemoryForTheRest)
 {
     for (int64_t memory_mb : {96, 160, 256, 300, 4096}) {
         SCOPED_TRACE(memory_mb);
