Give no port twice to the nodes of a test

Evidence: 45 of 200,000 triples drawn that way have a port twice; a front whose second address is the first one fails with the same lines; the port is odd, and the system gives even ones to outgoing connections.

Change: test_free_port, below the ports of outgoing connections, with a list of those given. The tests of front and jobs use it.

--- a/packages/base/test_base.cc
+++ b/packages/base/test_base.cc
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/base.h"
 #include "base/budget.h"
 #include "base/http_text.h"
+#include "base/test_ports.h"
 
 /* What these let pass is written into requests and stored as it is. */
 TEST(HttpText, OnlyStringsThatStayInTheirPlaceAreValid)
@@ -278,3 +280,14 @@
         EXPECT_EQ(base_budget_used(&budget), row.is_taken ? row.wanted : 0);
     }
 }
+
+/* A node of a test could not listen when two of its addresses had one port. */
+TEST(TestPorts, NoPortIsReturnedTwice)
+{
+    enum { N_PORTS = 3000 };
+    std::set<int> ports;
+    for (int i = 0; i < N_PORTS; i++) {
+        ports.insert(test_free_port());
+    }
+    EXPECT_EQ(ports.size(), N_PORTS);
+}
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -1,3 +1,4 @@
+#include "base/test_ports.h"
 #include "front/test_support.h"
 
 #include <atomic>
@@ -104,9 +105,9 @@
     begin(const std::vector<struct test_server *> &engines)
     {
         struct base_error err = {};
-        port = free_port();
-        metrics_port = free_port();
-        callers_port = free_port();
+        port = test_free_port();
+        metrics_port = test_free_port();
+        callers_port = test_free_port();
         address = "127.0.0.1:" + std::to_string(port);
         metrics_address = "127.0.0.1:" + std::to_string(metrics_port);
         callers_address = "127.0.0.1:" + std::to_string(callers_port);
@@ -125,20 +126,6 @@
         }
     }
 
-    static int
-    free_port()
-    {
-        int fd = socket(AF_INET, SOCK_STREAM, 0);
-        struct sockaddr_in at = {};
-        socklen_t size = sizeof(at);
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(fd, (struct sockaddr *)&at, sizeof(at));
-        getsockname(fd, (struct sockaddr *)&at, &size);
-        close(fd);
-        return ntohs(at.sin_port);
-    }
-
     struct world *
     make_site(const std::vector<struct test_server *> &engines)
     {
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -15,6 +15,7 @@
 
 #include "adapter.h"
 #include "backends/test_server.h"
+#include "base/test_ports.h"
 #include "jobs/home.h"
 #include "jobs/jobs.h"
 #include "jobs/record.h"
@@ -862,26 +863,11 @@
     }
 };
 
-/* Returns an unused address for the RPCs of a node.  Its port is below those
- * that the system gives to outgoing connections, which could take it again
- * before the node listens. */
+/* Returns an unused address for the RPCs of a node. */
 std::string
 free_address()
 {
-    enum { FIRST_PORT = 20000, LAST_PORT = 32000 };
-    while (true) {
-        int port = g_random_int_range(FIRST_PORT, LAST_PORT);
-        struct sockaddr_in at = {};
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        at.sin_family = AF_INET;
-        at.sin_port = htons((uint16_t)port);
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bool is_free = bind(fd, (struct sockaddr *)&at, sizeof(at)) == 0;
-        close(fd);
-        if (is_free) {
-            return "127.0.0.1:" + std::to_string(port);
-        }
-    }
+    return "127.0.0.1:" + std::to_string(test_free_port());
 }
 
 /* Ends the leases of a node's runners, as the store does some time after the
