Report to a limiter through other nodes while it does not answer

Cause: 24 of 68 fronts were cut off from the limiter's host, but not from each other, so members found none of them lost. Their substitute, itself one of them, was a second limiter for the whole cut.

Change: while a limiter does not answer, a node also sends a copy of a report through another node every 400 ms, which passes it on; once the limiter answers on this way, all reports take it.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -350,6 +350,7 @@
     g_array_free(control->actions, TRUE);
     control_rates_free(control->rates);
     g_hash_table_destroy(control->limiters);
+    g_hash_table_destroy(control->rate_relays);
     if (control->has_endpoint) {
         wire_endpoint_finish(&control->endpoint);
     }
@@ -403,6 +404,7 @@
     control->actions = g_array_new(FALSE, TRUE, sizeof(struct members_action));
     control->rates = control_rates_new(control);
     control->limiters = control_limiters_new();
+    control->rate_relays = control_rate_relays_new();
     control->rate_tolerance = (struct allowance_tolerance){
         desc->rate_tolerance.window_s, desc->rate_tolerance.overage,
         desc->rate_tolerance.slack};
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -27,6 +27,7 @@
  *   server_notices.c what servers say of themselves in responses
  *   retire.c         emptying this node on the operator's request
  *   rates.c          operators' rate limits: deciding and reporting
+ *   rate_relays.c    reports to limiters that a node can't reach itself
  *   limiters.c       the buckets of operators that this node limits
  *   status.c         the state as JSON
  */
@@ -67,6 +68,7 @@
     CONTROL_PROMPT_PARTS,
     CONTROL_SERVER_NOTICES,
     CONTROL_RATE_NOTICE,
+    CONTROL_RATE_RELAY, /* a RateAsk to be passed on to the limiter */
     CONTROL_N_KINDS,
 };
 
@@ -325,8 +327,9 @@
     struct control_server_notices server_notices;
     struct control_retire retire;
     struct control_rates *rates;
-    GHashTable *limiters; /* operator to struct allowance_limiter */
-    guint n_rate_notices; /* sent so far */
+    GHashTable *rate_relays; /* see rate_relays.c */
+    GHashTable *limiters;    /* operator to struct allowance_limiter */
+    guint n_rate_notices;    /* sent so far */
 };
 
 enum { CONTROL_OWNER_UNKNOWN = -2 /* not looked up yet */ };
@@ -557,8 +560,19 @@
                           const struct allowance_state *state, int64_t now_ms);
 bool control_rates_receive_report(struct control *control,
                                   const struct wire_message *message);
+bool control_rates_receive_relay(struct control *control,
+                                 const struct wire_message *message);
 bool control_rates_receive_notice(struct control *control,
                                   const struct wire_message *message);
+bool control_rates_has_lost(const struct control_rates *rates,
+                            const char *node);
+
+/* rate_relays.c */
+GHashTable *control_rate_relays_new(void);
+int control_rate_relay_choose(struct control *control, int attempt);
+void control_rate_relay_forward(struct control *control, const char *sender,
+                                Control__RateAsk *report, int limiter,
+                                const struct wire_return *from);
 
 /* limiters.c */
 GHashTable *control_limiters_new(void);
--- a/packages/control/dispatch.c
+++ b/packages/control/dispatch.c
@@ -12,6 +12,7 @@
         "news",        "record_pull",  "record",         "rate_ask",
         "rate_answer", "handover",     "recall",         "recalled",
         "loads",       "prompt_parts", "server_notices", "rate_notice",
+        "rate_relay",
     };
 
     G_STATIC_ASSERT(G_N_ELEMENTS(NAMES) == CONTROL_N_KINDS - WIRE_FIRST_KIND);
@@ -199,6 +200,7 @@
         [CONTROL_RECORD_PULL] = receive_record_pull,
         [CONTROL_RATE_ASK] = control_rates_receive_report,
         [CONTROL_RATE_NOTICE] = control_rates_receive_notice,
+        [CONTROL_RATE_RELAY] = control_rates_receive_relay,
         [CONTROL_HANDOVER] = control_handover_receive,
         [CONTROL_RECALL] = control_rebuild_receive,
         [CONTROL_LOADS] = control_loads_receive,
--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -12,6 +12,7 @@
      * the process.  The task waits for at most 100 ms. */
     PAUSE_MS = 150,
     MAX_WAIT_MS = 1000,
+    RELAY_MS = 400, /* interval at which relays are tried */
     LOG_INTERVAL_MS = 1000,
     /* Nodes that died so recently may be on the other side of a split of the
      * network, still admitting requests. */
@@ -34,7 +35,11 @@
     /* The rest belongs to the control task. */
     int limiter; /* index in the view; WORLD_NONE: no node accepts work */
     char limiter_name[MEMBERS_NAME_SIZE];
-    uint64_t choice; /* the control_rates.choice for which it was chosen */
+    uint64_t choice;  /* the control_rates.choice for which it was chosen */
+    int best;         /* the limiter, also while a substitute takes reports */
+    bool is_relayed;  /* reports are sent through a relay, see rate_relays.c */
+    int relay;        /* the relays tried so far */
+    int64_t relay_ms; /* when the last one was tried */
     int64_t next_log_ms;
 };
 
@@ -376,17 +381,24 @@
     return best;
 }
 
+/* Whether a node has not answered reports, as a limiter or its substitute. */
+bool
+control_rates_has_lost(const struct control_rates *rates, const char *node)
+{
+    return g_hash_table_contains(rates->lost, node);
+}
+
 static bool
 is_lost(struct control *control, int node)
 {
     return node != WORLD_NONE &&
-           g_hash_table_contains(control->rates->lost,
-                                 control->view->nodes[node].name);
+           control_rates_has_lost(control->rates,
+                                  control->view->nodes[node].name);
 }
 
 /* Returns the operator's limiter, or its substitute while this node gets no
  * answer from it.  The substitute is the next candidate, the same one at all
- * nodes. */
+ * nodes.  If that does not answer either, returns the limiter. */
 static int
 choose_limiter(struct control *control, const char *operator_name)
 {
@@ -400,28 +412,48 @@
     return next == WORLD_NONE || is_lost(control, next) ? best : next;
 }
 
+/* Returns the node to which reports are due.  A rate whose reports are relayed
+ * stays with its limiter, unless that is no longer the operator's. */
+static int
+choose_reported(struct control *control, struct rate *rate)
+{
+    const struct members_view *view = control->view;
+
+    rate->best = best_candidate(control, rate->name, WORLD_NONE);
+    if (rate->is_relayed && rate->best != WORLD_NONE &&
+        strcmp(view->nodes[rate->best].name, rate->limiter_name) == 0) {
+        return rate->best;
+    }
+    rate->is_relayed = false;
+    return choose_limiter(control, rate->name);
+}
+
+static void
+set_limiter(struct control *control, struct rate *rate, int limiter)
+{
+    const char *name =
+        limiter == WORLD_NONE ? "" : control->view->nodes[limiter].name;
+
+    rate->limiter = limiter;
+    if (strcmp(name, rate->limiter_name) != 0) {
+        g_strlcpy(rate->limiter_name, name, sizeof(rate->limiter_name));
+        allowance_account_limiter_changed(&rate->account);
+    }
+}
+
 /* Chooses the limiter anew if the view or the lost limiters have changed. */
 static void
 update_limiter(struct control *control, struct rate *rate)
 {
-    const char *name;
-
     find_candidates(control);
     if (rate->choice == control->rates->choice) {
         return;
     }
     rate->choice = control->rates->choice;
-    rate->limiter = choose_limiter(control, rate->name);
-    name = rate->limiter == WORLD_NONE
-               ? ""
-               : control->view->nodes[rate->limiter].name;
+    set_limiter(control, rate, choose_reported(control, rate));
     allowance_account_set_nodes(&rate->account,
                                 control->rates->candidates.n_accepting,
                                 control_rates_split_share(control->rates));
-    if (strcmp(name, rate->limiter_name) != 0) {
-        g_strlcpy(rate->limiter_name, name, sizeof(rate->limiter_name));
-        allowance_account_limiter_changed(&rate->account);
-    }
 }
 
 static void
@@ -463,6 +495,8 @@
     struct control *control;
     char operator_name[WORLD_OPERATOR_NAME_SIZE];
     char limiter[MEMBERS_NAME_SIZE];
+    bool is_relayed;
+    int relay; /* number of the relay, if it was sent through one */
     struct allowance_report report;
 };
 
@@ -479,6 +513,30 @@
     return true;
 }
 
+/* Sends the next reports on the way on which the limiter has answered. */
+static void
+note_route(struct control *control, struct rate *rate,
+           const struct rate_request *request)
+{
+    update_limiter(control, rate);
+    if (rate->best == WORLD_NONE ||
+        strcmp(control->view->nodes[rate->best].name, request->limiter) != 0) {
+        return;
+    }
+    if (!request->is_relayed) {
+        rate->is_relayed = false;
+    }
+    else if (!rate->is_relayed && is_lost(control, rate->best)) {
+        rate->is_relayed = true;
+        rate->relay = request->relay;
+        base_log(BASE_LOG_NOTICE, "rate.limiter_relayed",
+                 "operator=%s limiter=%s", rate->name, request->limiter);
+    }
+    if (rate->is_relayed || !is_lost(control, rate->best)) {
+        set_limiter(control, rate, rate->best);
+    }
+}
+
 static void
 apply_answer(struct rate_request *request,
              const struct allowance_answer *answer)
@@ -487,11 +545,14 @@
     struct rate *rate =
         g_hash_table_lookup(control->rates->by_name, request->operator_name);
 
-    note_found(control, request->limiter);
+    if (!request->is_relayed) {
+        note_found(control, request->limiter);
+    }
     if (rate == NULL || rate->account.instance != request->report.instance) {
         return;
     }
     pthread_mutex_lock(&rate->lock);
+    note_route(control, rate, request);
     allowance_answered(&rate->account, &request->report, answer,
                        control->now_ms);
     pthread_mutex_unlock(&rate->lock);
@@ -514,10 +575,12 @@
     g_hash_table_remove(request->control->rates->pending_requests, request);
 }
 
+/* Sends a report to the limiter, or through a relay if there is one. */
 static void
-send_report(struct control *control, struct rate *rate,
+send_report(struct control *control, struct rate *rate, int limiter, int relay,
             const struct allowance_report *report)
 {
+    int to = relay == WORLD_NONE ? limiter : relay;
     struct rate_request *request = g_new0(struct rate_request, 1);
     Control__RateAsk message = CONTROL__RATE_ASK__INIT;
     struct control_bytes bytes;
@@ -526,7 +589,10 @@
     request->report = *report;
     g_strlcpy(request->operator_name, rate->name,
               sizeof(request->operator_name));
-    g_strlcpy(request->limiter, rate->limiter_name, sizeof(request->limiter));
+    g_strlcpy(request->limiter, control->view->nodes[limiter].name,
+              sizeof(request->limiter));
+    request->is_relayed = relay != WORLD_NONE;
+    request->relay = rate->relay;
     g_hash_table_add(control->rates->pending_requests, request);
     message.operator_name = rate->name;
     message.instance = report->instance;
@@ -538,8 +604,9 @@
     bytes = control_pack(&message.base);
     wire_request(&control->endpoint,
                  &(struct wire_request_desc){
-                     .address = control_node_address(control, rate->limiter),
-                     .kind = CONTROL_RATE_ASK,
+                     .address = control_node_address(control, to),
+                     .kind = relay == WORLD_NONE ? CONTROL_RATE_ASK
+                                                 : CONTROL_RATE_RELAY,
                      .body = bytes.data,
                      .size = bytes.size,
                      .timeout_ms = REQUEST_TIMEOUT_MS,
@@ -550,19 +617,67 @@
     g_free(bytes.data);
 }
 
+/* Sends a report on its way.  A limiter that answers through a relay is tried
+ * directly when it is due to be tried again. */
+static void
+send_on_way(struct control *control, struct rate *rate,
+            const struct allowance_report *report)
+{
+    int relay = rate->is_relayed
+                    ? control_rate_relay_choose(control, rate->relay)
+                    : WORLD_NONE;
+
+    if (relay != WORLD_NONE) {
+        send_report(control, rate, rate->limiter, relay, report);
+        if (is_lost(control, rate->limiter)) {
+            return;
+        }
+        note_lost(control, rate->limiter_name);
+    }
+    send_report(control, rate, rate->limiter, WORLD_NONE, report);
+}
+
+/* Sends a report through a relay, too, while the limiter does not answer. */
+static void
+try_relay(struct control *control, struct rate *rate,
+          const struct allowance_report *report)
+{
+    int relay;
+
+    if (rate->is_relayed || !is_lost(control, rate->best) ||
+        control->now_ms - rate->relay_ms < RELAY_MS) {
+        return;
+    }
+    rate->relay++;
+    rate->relay_ms = control->now_ms;
+    relay = control_rate_relay_choose(control, rate->relay);
+    if (relay != WORLD_NONE) {
+        send_report(control, rate, rate->best, relay, report);
+    }
+}
+
+/* Finds the node to which to report after the last one has not answered. */
+static void
+leave_limiter(struct control *control, struct rate *rate)
+{
+    if (rate->is_relayed) {
+        rate->is_relayed = false;
+        rate->choice = 0;
+    }
+    note_lost(control, rate->limiter_name);
+}
+
 /* Reports to the operator's limiter, or directly if that is this node. */
 static void
 report(struct control *control, struct rate *rate)
 {
     struct allowance_report out;
     struct allowance_answer answer;
-    bool is_unanswered;
 
     base_counter_add(control->rates->reports, 1);
     pthread_mutex_lock(&rate->lock);
-    is_unanswered = allowance_is_alone(&rate->account, control->now_ms);
-    if (is_unanswered) {
-        note_lost(control, rate->limiter_name);
+    if (allowance_is_alone(&rate->account, control->now_ms)) {
+        leave_limiter(control, rate);
     }
     update_limiter(control, rate);
     allowance_report(&rate->account, control->now_ms, &out);
@@ -570,8 +685,9 @@
     if (rate->limiter == WORLD_NONE) {
         return;
     }
+    try_relay(control, rate, &out);
     if (!control_is_self(control, rate->limiter)) {
-        send_report(control, rate, &out);
+        send_on_way(control, rate, &out);
         return;
     }
     control_limiter_report(control, rate->name, control->node, &out, &answer);
@@ -732,6 +848,7 @@
 answer_report(struct control *control, const struct wire_message *message,
               const Control__RateAsk *in)
 {
+    const char *node = in->node[0] == '\0' ? message->sender : in->node;
     const struct allowance_report reported = {
         .instance = in->instance,
         .total = in->total,
@@ -743,8 +860,8 @@
     struct allowance_answer answer;
 
     if (has_limit(control, in->operator_name)) {
-        control_limiter_report(control, in->operator_name, message->sender,
-                               &reported, &answer);
+        control_limiter_report(control, in->operator_name, node, &reported,
+                               &answer);
     }
     else {
         answer_unlimited(control, &answer);
@@ -755,22 +872,59 @@
     control_reply(control, &message->from, CONTROL_RATE_ANSWER, &out.base);
 }
 
+static Control__RateAsk *
+read_report(const struct wire_message *message)
+{
+    Control__RateAsk *report =
+        control__rate_ask__unpack(NULL, message->size, message->body);
+
+    if (report != NULL &&
+        (report->unacknowledged > report->total ||
+         report->total > report->seen ||
+         !control_is_valid_text(report->operator_name,
+                                WORLD_OPERATOR_NAME_SIZE) ||
+         !control_is_valid_text(report->node, MEMBERS_NAME_SIZE))) {
+        control__rate_ask__free_unpacked(report, NULL);
+        return NULL;
+    }
+    return report;
+}
+
 /* Handles a node's report to a limiter.  Without a configuration it gets no
  * answer, so that the node tries another limiter.  False if malformed. */
 bool
 control_rates_receive_report(struct control *control,
                              const struct wire_message *message)
 {
-    Control__RateAsk *report =
-        control__rate_ask__unpack(NULL, message->size, message->body);
-    bool is_ok =
-        report != NULL && report->unacknowledged <= report->total &&
-        report->total <= report->seen &&
-        control_is_valid_text(report->operator_name, WORLD_OPERATOR_NAME_SIZE);
+    Control__RateAsk *report = read_report(message);
 
-    if (is_ok && control->world != NULL) {
+    if (report != NULL && control->world != NULL) {
         answer_report(control, message, report);
     }
     control__rate_ask__free_unpacked(report, NULL);
-    return is_ok;
+    return report != NULL;
+}
+
+/* Handles a report that a node sends through this one.  It gets no answer if
+ * the limiter does not answer this node either.  False if malformed. */
+bool
+control_rates_receive_relay(struct control *control,
+                            const struct wire_message *message)
+{
+    Control__RateAsk *report = read_report(message);
+    int limiter;
+
+    if (report != NULL && control->world != NULL) {
+        find_candidates(control);
+        limiter = best_candidate(control, report->operator_name, WORLD_NONE);
+        if (control_is_self(control, limiter)) {
+            answer_report(control, message, report);
+        }
+        else if (limiter != WORLD_NONE && !is_lost(control, limiter)) {
+            control_rate_relay_forward(control, message->sender, report,
+                                       limiter, &message->from);
+        }
+    }
+    control__rate_ask__free_unpacked(report, NULL);
+    return report != NULL;
 }
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -1,6 +1,9 @@
 #include "control/test_support.h"
 
+#include <algorithm>
+#include <functional>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace {
@@ -878,6 +881,116 @@
     EXPECT_GE(n_admitted, 20 * 3);
 }
 
+/* Runs a function on a node's control task and waits for it. */
+struct OnTask {
+    struct base_call call = {};
+    std::function<void()> function;
+    bool is_done = false;
+
+    OnTask(struct control *control, TestTask &from,
+           const std::function<void()> &function_)
+        : function(function_)
+    {
+        static const struct base_call_ops OPS = {serve, done, nullptr};
+        base_call_send(&call, &OPS, &control->task, &from.task);
+        from.until([&] { return is_done; });
+    }
+    static void
+    serve(struct base_call *call, void *)
+    {
+        ((OnTask *)call)->function();
+        base_call_reply(call);
+    }
+    static void
+    done(struct base_call *call, void *)
+    {
+        ((OnTask *)call)->is_done = true;
+    }
+};
+
+/* Returns the nodes in the order in which they become limiters of "o". */
+std::vector<size_t>
+limiters_of_o(const Fleet &fleet)
+{
+    std::vector<size_t> order(fleet.nodes.size());
+    auto weight = [&](size_t node) {
+        return base_hash_text(fleet.nodes[node]->name.c_str(),
+                              base_hash_text("o", 0));
+    };
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(),
+              [&](size_t a, size_t b) { return weight(a) > weight(b); });
+    return order;
+}
+
+/* Guards against nodes that are cut off from the limiter only and admit their
+ * last part alone, or as a second limiter. */
+TEST(Control, ReportsReachALimiterThroughOtherNodes)
+{
+    enum { RATE = 60 };
+    static const struct {
+        const char *text;
+        size_t asker; /* place among the operator's limiters */
+        size_t n_cut; /* limiters that it does not reach */
+    } CASES[] = {
+        {"the limiter", 2, 1},
+        {"the limiter and its substitute", 2, 2},
+        {"the substitute is cut off from the limiter", 1, 1},
+    };
+
+    for (const auto &test : CASES) {
+        SCOPED_TRACE(test.text);
+        Fleet fleet(6);
+        ASSERT_TRUE(fleet.wait_until_joined());
+        ASSERT_TRUE(fleet.apply_config(
+            1, document(1, R"([{"name": "o", "requests_per_s": 60}])")));
+        std::vector<size_t> order = limiters_of_o(fleet);
+        size_t asker = order[test.asker];
+        size_t other = order[3];
+        bool is_cut = false;
+        auto cut = [&] {
+            struct members_view *view = fleet.at(asker)->view;
+            for (size_t i = 0; i < test.n_cut; i++) {
+                int node = members_view_find(
+                    view, fleet.nodes[order[i]]->name.c_str());
+                g_strlcpy(view->nodes[node].control_address, "127.0.0.1:9",
+                          MEMBERS_ADDRESS_SIZE);
+            }
+        };
+        /* Requests at both nodes, a second; returns how many are admitted at
+         * the one that is cut off and in all. */
+        auto request = [&](int at_asker, int at_other, int64_t duration_ms) {
+            int n_asker = 0;
+            int n_other = 0;
+            int n_sent = 0;
+            int64_t start_ms = base_clock_ms();
+            int64_t now_ms = start_ms;
+            for (; now_ms < start_ms + duration_ms; now_ms = base_clock_ms()) {
+                for (; n_sent < (now_ms - start_ms) / 10; n_sent++) {
+                    n_asker += n_sent % (100 / at_asker) == 0 &&
+                               control_rate_allow(fleet.at(asker), "o", 1);
+                    n_other += n_sent % (100 / at_other) == 0 &&
+                               control_rate_allow(fleet.at(other), "o", 1);
+                }
+                if (is_cut) {
+                    OnTask(fleet.at(asker), fleet.task, cut);
+                }
+                g_usleep(5000);
+            }
+            return std::make_pair(n_asker, n_asker + n_other);
+        };
+        request(4, 33, 1500);
+        is_cut = true;
+        request(4, 33, 2500);
+        int64_t n_alone = fleet.nodes[asker]->count("rate_alone_total");
+        EXPECT_GE(request(33, 4, 2000).first, 33 * 2 - 3);
+        /* A full bucket holds the requests of two seconds; each node overdraws
+         * by up to 8. */
+        EXPECT_LE(request(100, 100, 3000).second, RATE * (3 + 2) + 2 * 8);
+        EXPECT_EQ(fleet.nodes[asker]->count("rate_alone_total"), n_alone);
+    }
+}
+
 /* Returns the string value of the first JSON member of that name at or after
  * offset `from`, or "" if there is none. */
 std::string
--- a/packages/wire/control.pb-c.c
+++ b/packages/wire/control.pb-c.c
@@ -3451,7 +3451,7 @@
   (ProtobufCMessageInit) control__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__rate_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor control__rate_ask__field_descriptors[7] =
 {
   {
     "operator_name",
@@ -3525,10 +3525,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "node",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__RateAsk, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__rate_ask__field_indices_by_name[] = {
   5,   /* field[5] = fraction */
   4,   /* field[4] = instance */
+  6,   /* field[6] = node */
   0,   /* field[0] = operator_name */
   3,   /* field[3] = seen */
   1,   /* field[1] = total */
@@ -3538,7 +3551,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor control__rate_ask__descriptor =
 {
@@ -3548,7 +3561,7 @@
   "Control__RateAsk",
   "control",
   sizeof(Control__RateAsk),
-  6,
+  7,
   control__rate_ask__field_descriptors,
   control__rate_ask__field_indices_by_name,
   2,  control__rate_ask__number_ranges,
--- a/packages/wire/control.pb-c.h
+++ b/packages/wire/control.pb-c.h
@@ -537,10 +537,14 @@
    * by the last limiter's notice; 0: all requests 
    */
   float fraction;
+  /*
+   * that reports, if another one relays it; else empty 
+   */
+  char *node;
 };
 #define CONTROL__RATE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__rate_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Control__RateAnswer
