--- a/packages/allowance/allowance.h
+++ b/packages/allowance/allowance.h
@@ -177,6 +177,18 @@
     double held_per_s; /* held back for those that report no more */
 };
 
+/* The state of a bucket, for people. */
+struct allowance_limiter_info {
+    double level;         /* requests left */
+    double capacity;      /* the highest level */
+    double granted_per_s; /* of the rate, without what is held back */
+    double held_per_s;    /* held back for nodes that report no more */
+    double demand_per_s;
+    double fraction; /* of requests to admit, by the last notice */
+    int n_nodes;     /* that have reported within a minute or so */
+    int n_silent;    /* of these, that may be cut off */
+};
+
 void allowance_limiter_init(struct allowance_limiter *limiter, uint64_t id,
                             const struct allowance_limit *limit,
                             const struct allowance_tolerance *tolerance,
@@ -195,6 +207,9 @@
 bool allowance_limiter_notice(struct allowance_limiter *limiter,
                               int64_t now_ms, struct allowance_state *out);
 bool allowance_limiter_is_low(const struct allowance_limiter *limiter);
+void allowance_limiter_describe(struct allowance_limiter *limiter,
+                                int64_t now_ms,
+                                struct allowance_limiter_info *out);
 double allowance_extra(const struct allowance_limit *limit,
                        const struct allowance_tolerance *tolerance);
 
--- a/packages/allowance/limiter.c
+++ b/packages/allowance/limiter.c
@@ -472,3 +472,28 @@
     fill_state(limiter, next, now_ms, out);
     return true;
 }
+
+/* Writes the state of a bucket. */
+void
+allowance_limiter_describe(struct allowance_limiter *limiter, int64_t now_ms,
+                           struct allowance_limiter_info *out)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    advance(limiter, now_ms);
+    hold_silent(limiter, now_ms);
+    *out = (struct allowance_limiter_info){
+        .level = limiter->level,
+        .capacity = capacity(limiter),
+        .granted_per_s = granted_per_s(limiter),
+        .held_per_s = limiter->held_per_s,
+        .demand_per_s = limiter->demand_per_s,
+        .fraction = limiter->noticed,
+        .n_nodes = (int)g_hash_table_size(limiter->nodes),
+    };
+    g_hash_table_iter_init(&iter, limiter->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        out->n_silent += is_silent(limiter, value, now_ms);
+    }
+}
--- a/packages/control/control_private.h
+++ b/packages/control/control_private.h
@@ -567,6 +567,18 @@
 bool control_rates_has_lost(const struct control_rates *rates,
                             const char *node);
 
+/* An operator's limit at this node. */
+struct control_rate_info {
+    const char *operator_name;
+    const char *limiter; /* to which this node reports; "": to none */
+    bool is_relayed;     /* through another node */
+    bool is_substituted; /* the limiter itself does not answer */
+    bool is_alone;       /* no limiter answers */
+    double per_s;
+    double fraction; /* of requests that the node admits */
+};
+GArray *control_rates_describe(struct control *control);
+
 /* rate_relays.c */
 GHashTable *control_rate_relays_new(void);
 int control_rate_relay_choose(struct control *control, int attempt);
--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -928,3 +928,35 @@
     control__rate_ask__free_unpacked(report, NULL);
     return report != NULL;
 }
+
+/* ---- state ---- */
+
+/* Returns an array of struct control_rate_info, for the caller to unreference.
+ */
+GArray *
+control_rates_describe(struct control *control)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct control_rate_info));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->rates->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct rate *rate = value;
+        struct control_rate_info info = {
+            .operator_name = rate->name,
+            .limiter = rate->limiter_name,
+            .is_relayed = rate->is_relayed,
+            .is_substituted = rate->limiter != rate->best,
+        };
+        pthread_mutex_lock(&rate->lock);
+        info.is_alone = rate->account.is_alone;
+        info.per_s = rate->account.limit.per_s;
+        info.fraction = control->now_ms < rate->account.low_until_ms
+                            ? rate->account.fraction
+                            : 1;
+        pthread_mutex_unlock(&rate->lock);
+        g_array_append_val(out, info);
+    }
+    return out;
+}
--- a/packages/control/status.c
+++ b/packages/control/status.c
@@ -77,8 +77,56 @@
     return list;
 }
 
+/* Describes the operators' rate limits as this node applies them. */
+static json_t *
+describe_rates(struct control *control)
+{
+    json_t *list = json_array();
+    GArray *rates = control_rates_describe(control);
+
+    for (guint i = 0; i < rates->len; i++) {
+        const struct control_rate_info *rate =
+            &g_array_index(rates, struct control_rate_info, i);
+        json_array_append_new(
+            list,
+            json_pack("{s:o, s:f, s:o, s:b, s:b, s:b, s:f}", "operator",
+                      base_json_text(rate->operator_name), "per_s",
+                      rate->per_s, "limiter", base_json_text(rate->limiter),
+                      "substitute", rate->is_substituted, "relayed",
+                      rate->is_relayed, "alone", rate->is_alone, "admitted",
+                      rate->fraction));
+    }
+    g_array_unref(rates);
+    return list;
+}
+
+/* Describes the buckets of the operators that this node limits. */
+static json_t *
+describe_limiters(struct control *control)
+{
+    json_t *list = json_array();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->limiters);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        struct allowance_limiter_info info;
+        allowance_limiter_describe(value, control->now_ms, &info);
+        json_array_append_new(
+            list, json_pack("{s:o, s:f, s:f, s:f, s:f, s:f, s:f, s:i, s:i}",
+                            "operator", base_json_text(name), "level",
+                            info.level, "capacity", info.capacity,
+                            "granted_per_s", info.granted_per_s, "held_per_s",
+                            info.held_per_s, "demand_per_s", info.demand_per_s,
+                            "admitted", info.fraction, "nodes", info.n_nodes,
+                            "silent", info.n_silent));
+    }
+    return list;
+}
+
 /* Returns the node's state as JSON text: itself, the members, the servers that
- * it owns and the links.  The caller frees it with g_free. */
+ * it owns, the links and rate limits.  The caller frees it with g_free. */
 char *
 control_status_text(struct control *control)
 {
@@ -98,7 +146,9 @@
                         control->world ? describe_owned_servers(control)
                                        : json_array());
     json_object_set_new(root, "links", describe_links(control->world));
-    text = json_dumps(root, JSON_COMPACT);
+    json_object_set_new(root, "rates", describe_rates(control));
+    json_object_set_new(root, "limiters", describe_limiters(control));
+    text = json_dumps(root, JSON_COMPACT | JSON_REAL_PRECISION(6));
     copy = g_strdup(text);
     free(text);
     json_decref(root);
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -983,6 +983,12 @@
         is_cut = true;
         request(4, 33, 2500);
         int64_t n_alone = fleet.nodes[asker]->count("rate_alone_total");
+        EXPECT_NE(
+            fleet.task.read_status(fleet.at(asker)).find("\"relayed\":true"),
+            std::string::npos);
+        EXPECT_NE(fleet.task.read_status(fleet.at(order[0]))
+                      .find("\"limiters\":[{\"operator\":\"o\""),
+                  std::string::npos);
         EXPECT_GE(request(33, 4, 2000).first, 33 * 2 - 3);
         /* A full bucket holds the requests of two seconds; each node overdraws
          * by up to 8. */
--- a/packages/ctl/status.c
+++ b/packages/ctl/status.c
@@ -24,7 +24,8 @@
 
     g_option_context_set_summary(
         context,
-        "Shows the nodes, servers and deployments that one node knows.");
+        "Shows the nodes, servers, deployments and rate limits that one node "
+        "knows.");
     g_option_context_set_description(context,
                                      "Example:\n  cardamomctl status --node "
                                      "http://127.0.0.1:8080 --token KEY\n");
@@ -49,7 +50,8 @@
         printf("%-18s ", json_string_value(value));
         return;
     }
-    text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+    text = json_dumps(value,
+                      JSON_ENCODE_ANY | JSON_COMPACT | JSON_REAL_PRECISION(6));
     printf("%-18s ", text);
     free(text);
 }
--- a/packages/front/site_routes.c
+++ b/packages/front/site_routes.c
@@ -16,6 +16,8 @@
                                          false,   0,     &FRONT_READY};
 static const struct front_route METRICS = {"metrics", "GET", "",
                                            false,     0,     &FRONT_METRICS};
+static const struct front_route STATUS = {"status", "GET", "",
+                                          false,    0,     &FRONT_STATUS};
 static const struct front_route JOB_CALL = {"job", "*", "",
                                             true,  0,   &FRONT_JOB_CALL};
 static const struct front_route JOB_SUBMIT = {
@@ -156,12 +158,14 @@
         call == FRONT_CALL_READY) {
         return &READY;
     }
-    if ((request->serves & FRONT_SERVES_METRICS) != 0 &&
-        strcmp(request->method, "GET") == 0 &&
-        strcmp(request->path, "/metrics") == 0) {
-        return &METRICS;
+    if ((request->serves & FRONT_SERVES_METRICS) == 0 ||
+        strcmp(request->method, "GET") != 0) {
+        return NULL;
     }
-    return NULL;
+    if (strcmp(request->path, "/admin/status") == 0) {
+        return &STATUS;
+    }
+    return strcmp(request->path, "/metrics") == 0 ? &METRICS : NULL;
 }
 
 /* Returns the route whose handler serves a request.  On a failure the request
--- a/packages/front/test_ingress.cc
+++ b/packages/front/test_ingress.cc
@@ -743,6 +743,9 @@
         {"metrics, callers and probes", port, "/metrics", 200, true},
         {"metrics", metrics_port, "/metrics", 200, false},
         {"metrics with a query", metrics_port, "/metrics?a=b", 200, false},
+        {"status, callers", callers_port, "/admin/status", 200, true},
+        {"status, callers and probes", port, "/admin/status", 200, true},
+        {"status, metrics", metrics_port, "/admin/status", 200, false},
         {"readiness, metrics", metrics_port, "/ready", 404, false},
         {"a route, metrics", metrics_port, "/x", 404, false},
     };
@@ -755,9 +758,12 @@
         EXPECT_EQ(answer.status, row.status);
         EXPECT_EQ(engine.requests().size() - n_before,
                   row.is_forwarded ? 1u : 0u);
+        bool is_own =
+            !row.is_forwarded && row.status == 200 && row.port == metrics_port;
+        bool is_status = strcmp(row.path, "/admin/status") == 0;
         EXPECT_EQ(answer.body.find("requests_total") != std::string::npos,
-                  !row.is_forwarded && row.status == 200 &&
-                      row.port == metrics_port);
+                  is_own && !is_status);
+        EXPECT_EQ(answer.body == "{\"nodes\":[]}", is_own && is_status);
     }
 }
 
