--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -43,6 +43,33 @@
     }
 };
 
+/* Runs a function on a node's control task and waits for it. */
+struct OnTask {
+    struct base_call call = {};
+    std::function<void()> function;
+    bool is_done = false;
+
+    OnTask(struct control *control, TestTask &from,
+           const std::function<void()> &function_)
+        : function(function_)
+    {
+        static const struct base_call_ops OPS = {serve, done, nullptr};
+        base_call_send(&call, &OPS, &control->task, &from.task);
+        from.until([&] { return is_done; });
+    }
+    static void
+    serve(struct base_call *call, void *)
+    {
+        ((OnTask *)call)->function();
+        base_call_reply(call);
+    }
+    static void
+    done(struct base_call *call, void *)
+    {
+        ((OnTask *)call)->is_done = true;
+    }
+};
+
 /* Returns, by server name, the nodes that list the server as theirs in their
  * status. */
 std::map<std::string, std::vector<size_t>>
@@ -747,6 +774,41 @@
     }
 }
 
+/* Guards against final errors by an old configuration, from a node that has
+ * heard of a newer one but does not have it yet. */
+TEST(Control, ANodeThatHearsOfANewerConfigurationDoesNotHaveTheNewest)
+{
+    Fleet fleet(2);
+    ASSERT_TRUE(fleet.wait_until_joined());
+    ASSERT_TRUE(fleet.apply_config(1, document(1)));
+    ASSERT_TRUE(fleet.task.until([&] {
+        return control_has_newest_config(fleet.at(0)) &&
+               control_has_newest_config(fleet.at(1));
+    }));
+    RecordPeer peer(2, document(2));
+    Pause first;
+    Pause second;
+    /* Node 1 gets the record and tells node 0 of it, which then can't get it
+     * from node 1. */
+    first.begin(fleet.at(0));
+    peer.announce(fleet.nodes[1]->address());
+    ASSERT_TRUE(fleet.task.until([&] {
+        peer.serve();
+        return fleet.nodes[1]->applied_revision() == 2;
+    }));
+    g_usleep(2000000);
+    second.begin(fleet.at(1));
+    first.end();
+    EXPECT_TRUE(fleet.task.until(
+        [&] { return !control_has_newest_config(fleet.at(0)); }));
+    EXPECT_EQ(fleet.nodes[0]->applied_revision(), 1);
+    second.end();
+    EXPECT_TRUE(fleet.task.until([&] {
+        return fleet.nodes[0]->applied_revision() == 2 &&
+               control_has_newest_config(fleet.at(0));
+    }));
+}
+
 TEST(Control, RateLimitsHoldAcrossNodes)
 {
     Fleet fleet(2);
@@ -881,33 +943,6 @@
     EXPECT_GE(n_admitted, 20 * 3);
 }
 
-/* Runs a function on a node's control task and waits for it. */
-struct OnTask {
-    struct base_call call = {};
-    std::function<void()> function;
-    bool is_done = false;
-
-    OnTask(struct control *control, TestTask &from,
-           const std::function<void()> &function_)
-        : function(function_)
-    {
-        static const struct base_call_ops OPS = {serve, done, nullptr};
-        base_call_send(&call, &OPS, &control->task, &from.task);
-        from.until([&] { return is_done; });
-    }
-    static void
-    serve(struct base_call *call, void *)
-    {
-        ((OnTask *)call)->function();
-        base_call_reply(call);
-    }
-    static void
-    done(struct base_call *call, void *)
-    {
-        ((OnTask *)call)->is_done = true;
-    }
-};
-
 /* Returns the nodes in the order in which they become limiters of "o". */
 std::vector<size_t>
 limiters_of_o(const Fleet &fleet)
