Do not show a substitute for a rate that was never reported

Cause: the status compared the limiter, none, with the first node of the view. Change: none until it is chosen. Result: the added check of Control.ReportsReachALimiterThroughOtherNodes failed in its three rows before and passes now.

--- a/packages/control/rates.c
+++ b/packages/control/rates.c
@@ -218,6 +218,7 @@
         rate = g_new0(struct rate, 1);
         rate->name = g_strdup(config->name);
         rate->limiter = WORLD_NONE;
+        rate->best = WORLD_NONE;
         pthread_mutex_init(&rate->lock, NULL);
         /* Each account has an instance of its own, since its totals start
          * at 0. */
--- a/packages/control/test_control.cc
+++ b/packages/control/test_control.cc
@@ -983,6 +983,9 @@
         size_t asker = order[test.asker];
         size_t other = order[3];
         bool is_cut = false;
+        EXPECT_EQ(fleet.task.read_status(fleet.at(asker))
+                      .find("\"substitute\":true"),
+                  std::string::npos);
         auto cut = [&] {
             struct members_view *view = fleet.at(asker)->view;
             for (size_t i = 0; i < test.n_cut; i++) {
