--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 C_SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' 'standins/*.c' | grep -v pb-c)
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 
-.PHONY: all packages build format format-check lint test fuzz check check-sanitize demo install
+.PHONY: all packages build format format-check lint test soak fuzz check check-sanitize demo install
 
 all: build
 
@@ -27,7 +27,11 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
 
-check: packages format-check lint test fuzz
+soak: build
+	bench/run soak --seed 1
+	bench/run soak --seed 2
+
+check: packages format-check lint test soak fuzz
 
 demo: packages build
 	python3 bench/demo.py
