Publish the sum of outputs after it has been brought below its limit

The gauge was set when an output had grown and before the largest one was dropped, in the same call, so another thread could read the sum in between. The memory itself is above the limit for that moment by the growth of one output, as it was.

Change: the gauge is set once the sum has been brought below the limit.

--- a/packages/jobs/outputs.c
+++ b/packages/jobs/outputs.c
@@ -37,6 +37,11 @@
 
     jobs->output_bytes += bytes - work->output_bytes;
     work->output_bytes = bytes;
+}
+
+static void
+publish(struct jobs *jobs)
+{
     base_counter_set(jobs->output_gauge, jobs->output_bytes);
 }
 
@@ -46,6 +51,7 @@
 {
     jobs_events_drop(&work->events);
     count(work, jobs_events_bytes(&work->events));
+    publish(work->run->jobs);
 }
 
 /* Frees the output of an item with the item. */
@@ -54,6 +60,7 @@
 {
     jobs_events_finish(&work->events);
     count(work, 0);
+    publish(work->run->jobs);
 }
 
 /* Returns the item with the largest output among those that can run again, or
@@ -113,6 +120,7 @@
            (largest = find_largest(jobs)) != NULL) {
         cut_off(jobs, largest);
     }
+    publish(jobs);
 }
 
 /* Returns whether further items may be sent to servers.  One at a time may
