Read the heads of open jobs page by page

Cause: scans, submissions to a route with a limit of waiting tokens, and a runner that had lost its lease each read the heads of all open jobs as one list, of up to 128 MiB, in a process that may have 256 MB; submissions did so as often at one time as they arrived. A list above the limit fails, so that no job would be taken over. The calls were sent as reads that return little.

Change: pages.c reads records page by page. A scan sends its checks in parts, which tell the range of ids that they cover; an earlier version takes such a part for a list of some jobs. What is remembered of jobs without a runner, and the heads that are read again at one time, are bounded. waiting.c counts the waiting tokens of all submissions that have arrived with one read. Checks of heads have moved to checks.c. A site with at most a page of jobs makes the same calls as before.

--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -226,8 +226,8 @@
 
 /* Makes this node the runner of a job, in a new epoch, and then loads the
  * job.  Without memory for it the job is left for a later scan. */
-static void
-claim_job(struct jobs *jobs, const struct jobs_head *head, int64_t revision)
+void
+jobs_claim(struct jobs *jobs, const struct jobs_head *head, int64_t revision)
 {
     int64_t bytes = jobs_input_bytes(jobs, head);
 
@@ -240,66 +240,11 @@
     jobs_with_lease(jobs, write_claim, new_claim(jobs, head, revision, bytes));
 }
 
-/* ---- checks of heads ---- */
-
-static void
-apply_check(struct jobs *jobs, const struct jobs_check *check,
-            const struct jobs_head *head, int64_t revision)
-{
-    struct jobs_run *run = g_hash_table_lookup(jobs->runs, check->id);
-
-    if (run != NULL) {
-        jobs_run_update_head(run, head, revision);
-        return;
-    }
-    if (!jobs_head_is_open(head) ||
-        g_hash_table_contains(jobs->pending_ids, check->id) ||
-        g_atomic_int_get(&jobs->is_draining)) {
-        return;
-    }
-    if (strcmp(head->runner, jobs->runner) == 0) {
-        /* The reply to the write that accepted or claimed it was lost. */
-        load_job(jobs, new_claim(jobs, head, revision, 0));
-    }
-    else if (check->is_orphan && revision == check->revision) {
-        claim_job(jobs, head, revision);
-    }
-}
-
-static void
-on_head_checked(struct jobs *jobs, struct platform_kv *kv, void *context)
-{
-    struct jobs_check *check = context;
-    const struct platform_entry *entry = jobs_kv_find_head(kv, check->id);
-    struct base_error err = {0};
-    struct jobs_head head;
-
-    if (kv->status == PLATFORM_OK && entry != NULL) {
-        if (jobs_head_decode(check->id, entry->value, &head, &err)) {
-            apply_check(jobs, check, &head, entry->revision);
-            jobs_head_finish(&head);
-        }
-        else {
-            base_log_error("jobs.head_unreadable", &err, "id=%s", check->id);
-        }
-    }
-    g_free(check);
-}
-
-/* Compares a head that a scan found with this node's own state, and reads it
- * again if they differ: the job was claimed or ended by another node, is
- * missing here although it names this runner, or has lost its runner. */
+/* Loads a job whose head names this process as its runner already: the reply
+ * to the write that accepted or claimed it was lost. */
 void
-jobs_check_head(struct jobs *jobs, const struct jobs_check *check)
+jobs_claim_again(struct jobs *jobs, const struct jobs_head *head,
+                 int64_t revision)
 {
-    const struct jobs_run *run = g_hash_table_lookup(jobs->runs, check->id);
-
-    if (g_hash_table_contains(jobs->pending_ids, check->id) ||
-        (run != NULL &&
-         (run->n_writes > 0 || check->revision <= run->revision))) {
-        return;
-    }
-    jobs_read_head(jobs, check->id,
-                   (struct jobs_kv_callback){
-                       on_head_checked, g_memdup2(check, sizeof(*check))});
+    load_job(jobs, new_claim(jobs, head, revision, 0));
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -144,6 +144,10 @@
     GArray *checks;              /* of struct jobs_check */
     char region[BASE_NAME_SIZE]; /* the checks are of this region's jobs */
     int64_t list_revision;       /* see jobs.proto, Call.revision */
+    /* The checks list the jobs after the first and up to the second of these;
+     * "": without a bound. */
+    char list_after[JOBS_ID_SIZE];
+    char list_until[JOBS_ID_SIZE];
     /* reply */
     enum jobs_status status;
     struct jobs_answer answer;
--- a/packages/jobs/jobs.pb-c.c
+++ b/packages/jobs/jobs.pb-c.c
@@ -206,7 +206,7 @@
   (ProtobufCMessageInit) jobs__check__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jobs__call__field_descriptors[14] =
+static const ProtobufCFieldDescriptor jobs__call__field_descriptors[17] =
 {
   {
     "op",
@@ -376,6 +376,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "range_revision",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, range_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "range_after",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, range_after),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "range_until",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jobs__Call, range_until),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jobs__call__field_indices_by_name[] = {
   3,   /* field[3] = after */
@@ -387,6 +423,9 @@
   0,   /* field[0] = op */
   12,   /* field[12] = operator_name */
   6,   /* field[6] = path */
+  15,   /* field[15] = range_after */
+  14,   /* field[14] = range_revision */
+  16,   /* field[16] = range_until */
   9,   /* field[9] = region */
   10,   /* field[10] = revision */
   11,   /* field[11] = submission */
@@ -396,7 +435,7 @@
 static const ProtobufCIntRange jobs__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor jobs__call__descriptor =
 {
@@ -406,7 +445,7 @@
   "Jobs__Call",
   "jobs",
   sizeof(Jobs__Call),
-  14,
+  17,
   jobs__call__field_descriptors,
   jobs__call__field_indices_by_name,
   1,  jobs__call__number_ranges,
--- a/packages/jobs/jobs.pb-c.h
+++ b/packages/jobs/jobs.pb-c.h
@@ -88,10 +88,18 @@
    *submission; 0: unknown 
    */
   int64_t config_revision;
+  /*
+   * In place of `revision`, if the checks list only the jobs of the called
+   *node after the first and up to the second of these ids; empty: no bound.
+   *An earlier version takes a list with `revision` for one of all jobs. 
+   */
+  int64_t range_revision;
+  char *range_after;
+  char *range_until;
 };
 #define JOBS__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jobs__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Jobs__Reply
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -4,8 +4,10 @@
  *
  *   jobs.c       the task: its calls, its timer, start and stop
  *   store.c      calls to the key-value service
+ *   pages.c      reads of many records, page by page
  *   record.c     encoding and decoding of stored records
  *   submit.c     acceptance of jobs
+ *   waiting.c    the tokens that wait on a route with a limit
  *   refusal.c    refusals of requests that another node may still serve
  *   read.c       reads of results and inputs, and ends of jobs, also of jobs
  *                that other nodes run
@@ -17,7 +19,8 @@
  *   home.c       which node runs a job
  *   runner_state.c  whether the runner of a job has stopped
  *   scan.c       scans for jobs whose runner has stopped
- *   claim.c      claims of these jobs
+ *   checks.c     what scans have found of this node's jobs
+ *   claim.c      claims of jobs whose runner has stopped
  *   item.c       an attempt of one item at a backend server
  *   admission.c  admission requests for items
  *   held.c       the memory of the jobs that this node runs
@@ -48,6 +51,8 @@
     JOBS_SERVER_SIZE = BASE_NAME_SIZE,
     /* Pieces of results in one call; a service may return fewer. */
     JOBS_PAGE_PIECES = 16,
+    /* Records in a page of a long list; a service may return others. */
+    JOBS_PAGE_ENTRIES = 200,
 };
 
 enum jobs_work_state {
@@ -59,6 +64,7 @@
 };
 
 struct jobs_run;
+struct scan;
 
 /* An item that this node runs. */
 struct jobs_work {
@@ -188,7 +194,11 @@
     GHashTable *pending_ids; /* ids being accepted or claimed */
     GHashTable *runners;     /* id of another node's job to its runner */
     struct jobs_archive archive;
-    GHashTable *submissions;   /* id to struct submission in progress */
+    GHashTable *submissions; /* id to struct submission in progress */
+    /* Of struct jobs_waiting: those that the read under way counts, or NULL,
+     * and those that wait for the next one. */
+    GPtrArray *counted;
+    GPtrArray *uncounted;
     struct jobs_region *homes; /* by region; one for all if none is known */
     int n_homes;               /* 0: no membership view yet */
     int region;                /* index in homes of this node's region */
@@ -197,6 +207,7 @@
     int n_admissions;          /* number of pending admission requests */
     int n_running;             /* number of items at servers */
     int n_calls;               /* pending calls to other tasks */
+    int n_head_reads;          /* of them, for checks of heads */
     struct base_budget held;   /* jobs that run here, and their results */
     struct base_budget transfers; /* values of calls to the store */
     /* Of results in replies; a counted reference, since requests may be freed
@@ -205,9 +216,8 @@
     GQueue waiting_calls; /* of struct pending_call (store.c): for transfers */
     int64_t output_limit; /* bytes of the outputs of unfinished items */
     int64_t output_bytes; /* their memory now */
-    bool is_stopped;
-    int is_draining; /* atomic */
-    int is_idle;     /* atomic */
+    int is_draining;      /* atomic */
+    int is_idle;          /* atomic */
     /* lease */
     int64_t lease_id;       /* 0: none */
     bool is_leasing;        /* a call for the lease or the entry is pending */
@@ -224,7 +234,7 @@
     int64_t lease_until_ms;     /* the lease is valid until then */
     int64_t next_lease_call_ms; /* time of the next call for lease or entry */
     /* scan for jobs without a runner */
-    bool is_scanning;
+    struct scan *scan;          /* under way; NULL: none */
     int64_t next_scan_ms;       /* on base_clock_ms */
     GHashTable *missing_since;  /* runner to the time of the first scan without
                                    its entry, of int64_t */
@@ -267,6 +277,19 @@
 const struct platform_entry *jobs_kv_find_head(const struct platform_kv *kv,
                                                const char *id);
 
+/* ---- pages.c ---- */
+
+struct jobs_pages_ops {
+    void (*on_page)(struct jobs *jobs, const struct platform_kv *page,
+                    void *context);
+    /* Called once, with the last page, or with one that has failed. */
+    void (*on_end)(struct jobs *jobs, const struct platform_kv *last,
+                   void *context);
+};
+
+void jobs_read_pages(struct jobs *jobs, const char *prefix,
+                     const struct jobs_pages_ops *ops, void *context);
+
 /* ---- stored_results.c ---- */
 
 /* Results of a job from a position on. */
@@ -305,6 +328,23 @@
                   void (*on_done)(struct jobs_request *request,
                                   void *task_state));
 
+/* ---- waiting.c ---- */
+
+/* A job that is submitted to a route with a limit of waiting tokens. */
+struct jobs_waiting {
+    const struct jobs_head *head;
+    int64_t tokens; /* of the open jobs that share its limit */
+    /* Called when the job is found to be open already. */
+    void (*on_known)(struct jobs *jobs, const struct platform_entry *entry,
+                     void *context);
+    /* Called when `tokens` is known, if `last` has not failed. */
+    void (*on_counted)(struct jobs *jobs, const struct platform_kv *last,
+                       void *context);
+    void *context;
+};
+
+void jobs_waiting_count(struct jobs *jobs, struct jobs_waiting *waiting);
+
 /* ---- refusal.c ---- */
 
 bool jobs_refusal_begin(struct jobs *jobs, struct jobs_request *request);
@@ -370,16 +410,22 @@
                      void *context);
 void jobs_lease_stop(struct jobs *jobs);
 
-/* ---- scan.c and claim.c ---- */
+/* ---- scan.c ---- */
 
 void jobs_scan_tick(struct jobs *jobs, int64_t now_ms);
 void jobs_scan_soon(struct jobs *jobs);
-void jobs_scan_stop(struct jobs *jobs);
-void jobs_check(struct jobs *jobs, struct jobs_request *request);
-void jobs_check_head(struct jobs *jobs, const struct jobs_check *check);
 void jobs_release_to_home(struct jobs *jobs, const struct jobs_head *head,
                           int64_t revision);
 
+/* ---- checks.c and claim.c ---- */
+
+void jobs_check(struct jobs *jobs, struct jobs_request *request);
+void jobs_check_head(struct jobs *jobs, const struct jobs_check *check);
+void jobs_claim(struct jobs *jobs, const struct jobs_head *head,
+                int64_t revision);
+void jobs_claim_again(struct jobs *jobs, const struct jobs_head *head,
+                      int64_t revision);
+
 /* ---- admission.c and item.c ---- */
 
 void jobs_dispatch(struct jobs *jobs, int64_t now_ms);
--- a/packages/jobs/lease.c
+++ b/packages/jobs/lease.c
@@ -98,21 +98,11 @@
 
 static void
 confirm_run(struct jobs *jobs, struct jobs_run *run,
-            const struct platform_kv *kv)
+            const struct platform_entry *entry)
 {
-    char *key = jobs_head_key(run->head.id);
-    const struct platform_entry *entry = jobs_kv_find_entry(kv, key);
-    struct jobs_check check = {.revision = INT64_MAX};
     struct base_error err = {0};
     struct jobs_head head;
 
-    g_free(key);
-    if (entry == NULL) {
-        /* It was moved to the ended jobs. */
-        g_strlcpy(check.id, run->head.id, sizeof(check.id));
-        jobs_check_head(jobs, &check);
-        return;
-    }
     if (!jobs_head_decode(run->head.id, entry->value, &head, &err)) {
         base_log_error("jobs.head_unreadable", &err, "id=%s", run->head.id);
         return;
@@ -123,17 +113,35 @@
 }
 
 static void
-on_heads_read(struct jobs *jobs, struct platform_kv *kv, void *context)
+on_heads(struct jobs *jobs, const struct platform_kv *page, void *context)
+{
+    (void)context;
+    for (guint i = 0; i < page->entries->len; i++) {
+        const struct platform_entry *entry = page->entries->pdata[i];
+        struct jobs_run *run = g_hash_table_lookup(
+            jobs->runs, entry->key + strlen(JOBS_HEAD_PREFIX));
+        if (run != NULL && run->is_unconfirmed) {
+            confirm_run(jobs, run, entry);
+        }
+    }
+}
+
+/* Checks the runs that are still unconfirmed: their heads have been moved to
+ * the ended jobs. */
+static void
+on_heads_end(struct jobs *jobs, const struct platform_kv *last, void *context)
 {
     GList *runs = g_hash_table_get_values(jobs->runs);
 
     (void)context;
     jobs->is_confirming = false;
-    for (GList *at = runs; at != NULL && kv->status == PLATFORM_OK;
+    for (GList *at = runs; at != NULL && last->status == PLATFORM_OK;
          at = at->next) {
-        struct jobs_run *run = at->data;
+        const struct jobs_run *run = at->data;
+        struct jobs_check check = {.revision = INT64_MAX};
         if (run->is_unconfirmed) {
-            confirm_run(jobs, run, kv);
+            g_strlcpy(check.id, run->head.id, sizeof(check.id));
+            jobs_check_head(jobs, &check);
         }
     }
     g_list_free(runs);
@@ -159,13 +167,14 @@
 static void
 confirm_runs(struct jobs *jobs)
 {
+    static const struct jobs_pages_ops OPS = {on_heads, on_heads_end};
+
     if (jobs->is_confirming || !jobs_holds_lease(jobs) ||
         !has_unconfirmed(jobs)) {
         return;
     }
     jobs->is_confirming = true;
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, JOBS_HEAD_PREFIX),
-                 (struct jobs_kv_callback){on_heads_read, NULL});
+    jobs_read_pages(jobs, JOBS_HEAD_PREFIX, &OPS, NULL);
 }
 
 /* ---- the lease ---- */
--- a/packages/jobs/rpc.c
+++ b/packages/jobs/rpc.c
@@ -103,6 +103,18 @@
     }
 }
 
+static void
+fill_range(Jobs__Call *message, const struct jobs_request *request)
+{
+    bool is_range =
+        request->list_after[0] != '\0' || request->list_until[0] != '\0';
+
+    message->revision = is_range ? 0 : request->list_revision;
+    message->range_revision = is_range ? request->list_revision : 0;
+    message->range_after = (char *)request->list_after;
+    message->range_until = (char *)request->list_until;
+}
+
 static void
 fill_call(Jobs__Call *message, const struct jobs_request *request)
 {
@@ -114,7 +126,7 @@
     message->after = request->after;
     message->wait_ms = request->wait_ms;
     message->region = (char *)request->region;
-    message->revision = request->list_revision;
+    fill_range(message, request);
     message->submission = (char *)request->submission;
     message->operator_name = (char *)request->operator_name;
     if (request->op == JOBS_SUBMIT) {
@@ -266,7 +278,11 @@
 read_checks(const Jobs__Call *call, struct jobs_request *request)
 {
     request->checks = g_array_new(FALSE, TRUE, sizeof(struct jobs_check));
-    request->list_revision = MAX(call->revision, 0);
+    request->list_revision = MAX(MAX(call->revision, call->range_revision), 0);
+    g_strlcpy(request->list_after, call->range_after,
+              sizeof(request->list_after));
+    g_strlcpy(request->list_until, call->range_until,
+              sizeof(request->list_until));
     g_strlcpy(request->region, call->region, sizeof(request->region));
     for (size_t i = 0; i < call->n_checks; i++) {
         struct jobs_check check = {.revision = call->checks[i]->revision,
--- a/packages/jobs/scan.c
+++ b/packages/jobs/scan.c
@@ -13,19 +13,36 @@
     /* Time that a job's home has for claiming it: two calls to the store, each
      * with a retry.  A home that does not reach the store never does. */
     HOME_CLAIM_MS = 3500,
+    MAX_CHECKS = 2000, /* of a region, in the calls that are sent together */
+    /* Runners and jobs whose time of the first scan is known.  Others are
+     * judged once there is room. */
+    MAX_TIMES = 20000,
+    /* States of a runner's entry. */
+    ENTRY_READY = 1,
+    ENTRY_LEAVING = 2,
 };
 
-/* A scan's results. */
+/* What a scan has found of a region's jobs, in the order of their ids. */
+struct region_scan {
+    char name[BASE_NAME_SIZE];
+    GHashTable *calls; /* node name to struct jobs_request */
+    int n_checks;      /* in `calls` */
+    /* The calls have the jobs after this one; "": all. */
+    char after[JOBS_ID_SIZE];
+    int n_orphans;
+};
+
+/* A scan under way. */
 struct scan {
     struct jobs *jobs;
-    int region;       /* index in jobs->homes */
-    int64_t revision; /* of the store */
+    int64_t revision; /* of the store, before the first head was read */
     int64_t now_ms;
-    GHashTable *entries;        /* runner to state text, both in the reply */
-    GHashTable *calls;          /* node name to struct jobs_request */
+    GHashTable *entries;        /* runner to the state of its entry */
     GHashTable *missing_since;  /* the next jobs->missing_since */
     GHashTable *orphaned_since; /* the next jobs->orphaned_since */
-    int n_orphans;
+    struct region_scan *regions;
+    int n_regions;
+    guint n_heads;
 };
 
 /* ---- runners ---- */
@@ -49,8 +66,10 @@
     const int64_t *first_ms = g_hash_table_lookup(known, key);
     int64_t since_ms = first_ms != NULL ? *first_ms : scan->now_ms;
 
-    g_hash_table_replace(next, g_strdup(key),
-                         g_memdup2(&since_ms, sizeof(since_ms)));
+    if (g_hash_table_size(next) < MAX_TIMES) {
+        g_hash_table_replace(next, g_strdup(key),
+                             g_memdup2(&since_ms, sizeof(since_ms)));
+    }
     return scan->now_ms - since_ms;
 }
 
@@ -67,16 +86,16 @@
 static enum jobs_runner_state
 judge(struct scan *scan, const struct jobs_head *head, int node)
 {
-    const struct platform_entry *entry =
-        g_hash_table_lookup(scan->entries, head->runner);
+    int entry =
+        GPOINTER_TO_INT(g_hash_table_lookup(scan->entries, head->runner));
     struct jobs_runner_facts facts = {
         .name = head->runner,
-        .has_entry = entry != NULL,
-        .is_leaving = entry != NULL && is_leaving_entry(entry),
+        .has_entry = entry != 0,
+        .is_leaving = entry == ENTRY_LEAVING,
         .node = node < 0 ? NULL : &scan->jobs->view->nodes[node],
     };
 
-    if (entry == NULL) {
+    if (entry == 0) {
         facts.missing_ms = found_for_ms(scan, scan->jobs->missing_since,
                                         scan->missing_since, head->runner);
     }
@@ -86,29 +105,29 @@
 /* ---- calls to other nodes ---- */
 
 static struct jobs_request *
-find_call(struct scan *scan, const char *node)
+find_call(struct scan *scan, struct region_scan *region, const char *node)
 {
-    struct jobs_request *call = g_hash_table_lookup(scan->calls, node);
+    struct jobs_request *call = g_hash_table_lookup(region->calls, node);
 
     if (call == NULL) {
         call = jobs_request_new(JOBS_CHECK, "");
         call->checks = g_array_new(FALSE, TRUE, sizeof(struct jobs_check));
-        g_strlcpy(call->region, scan->jobs->homes[scan->region].name,
-                  sizeof(call->region));
+        g_strlcpy(call->region, region->name, sizeof(call->region));
         call->list_revision = scan->revision;
-        g_hash_table_insert(scan->calls, g_strdup(node), call);
+        g_hash_table_insert(region->calls, g_strdup(node), call);
     }
     return call;
 }
 
 static void
-add_check(struct scan *scan, const char *node, const struct jobs_head *head,
-          int64_t revision, bool is_orphan)
+add_check(struct scan *scan, struct region_scan *region, const char *node,
+          const struct jobs_head *head, int64_t revision, bool is_orphan)
 {
     struct jobs_check check = {.revision = revision, .is_orphan = is_orphan};
 
     g_strlcpy(check.id, head->id, sizeof(check.id));
-    g_array_append_val(find_call(scan, node)->checks, check);
+    g_array_append_val(find_call(scan, region, node)->checks, check);
+    region->n_checks++;
 }
 
 /* Claims the orphans of a call whose node did not answer. */
@@ -171,51 +190,6 @@
     deliver(jobs, jobs->view->nodes[home].name, call);
 }
 
-/* ---- received checks ---- */
-
-static bool
-is_listed(const GArray *checks, const char *id)
-{
-    for (guint i = 0; i < checks->len; i++) {
-        if (strcmp(g_array_index(checks, struct jobs_check, i).id, id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Checks the runs that the list of this node's open jobs lacks. */
-static void
-check_unlisted(struct jobs *jobs, const struct jobs_request *request)
-{
-    GList *runs = g_hash_table_get_values(jobs->runs);
-
-    for (GList *at = runs; at != NULL; at = at->next) {
-        const struct jobs_run *run = at->data;
-        struct jobs_check check = {.revision = request->list_revision};
-        if (!jobs_run_is_complete(run) &&
-            strcmp(run->head.region, request->region) == 0 &&
-            !is_listed(request->checks, run->head.id)) {
-            g_strlcpy(check.id, run->head.id, sizeof(check.id));
-            jobs_check_head(jobs, &check);
-        }
-    }
-    g_list_free(runs);
-}
-
-/* Applies what another node's scan found of this node's jobs. */
-void
-jobs_check(struct jobs *jobs, struct jobs_request *request)
-{
-    for (guint i = 0; i < request->checks->len; i++) {
-        jobs_check_head(jobs,
-                        &g_array_index(request->checks, struct jobs_check, i));
-    }
-    if (request->list_revision > 0) {
-        check_unlisted(jobs, request);
-    }
-}
-
 /* ---- scans ---- */
 
 static int
@@ -233,7 +207,8 @@
  * its home, or this node if the home has not claimed it in time.  `runner` is
  * the node of its last runner, or WORLD_NONE. */
 static int
-find_claimer(const struct scan *scan, const struct jobs_head *head, int runner)
+find_claimer(const struct scan *scan, const struct jobs_homes *homes,
+             const struct jobs_head *head, int runner)
 {
     const struct jobs *jobs = scan->jobs;
 
@@ -247,11 +222,13 @@
                            jobs_runner_life(head->runner)) {
         runner = WORLD_NONE;
     }
-    return jobs_homes_find(&jobs->homes[scan->region].nodes, head->id, runner);
+    return jobs_homes_find(homes, head->id, runner);
 }
 
 static void
-check_job(struct scan *scan, const struct jobs_head *head, int64_t revision)
+check_job(struct scan *scan, struct region_scan *region,
+          const struct jobs_homes *homes, const struct jobs_head *head,
+          int64_t revision)
 {
     struct jobs *jobs = scan->jobs;
     int node = find_node(jobs, head->runner);
@@ -259,7 +236,8 @@
 
     switch (judge(scan, head, node)) {
     case JOBS_RUNNER_LIVE:
-        add_check(scan, jobs->view->nodes[node].name, head, revision, false);
+        add_check(scan, region, jobs->view->nodes[node].name, head, revision,
+                  false);
         return;
     case JOBS_RUNNER_UNCLEAR:
         jobs->next_scan_ms =
@@ -268,16 +246,85 @@
     case JOBS_RUNNER_STOPPED:
         break;
     }
-    claimer = find_claimer(scan, head, node);
-    scan->n_orphans++;
+    claimer = find_claimer(scan, homes, head, node);
+    region->n_orphans++;
     if (claimer != WORLD_NONE) {
-        add_check(scan, jobs->view->nodes[claimer].name, head, revision, true);
+        add_check(scan, region, jobs->view->nodes[claimer].name, head,
+                  revision, true);
     }
 }
 
+/* Begins the calls about further jobs of a region.  Each runner is notified,
+ * even if it has no job in the list. */
 static void
-check_jobs(struct scan *scan, const struct platform_kv *kv)
+begin_calls(struct scan *scan, struct region_scan *region)
 {
+    GHashTableIter iter;
+    gpointer runner;
+
+    g_hash_table_iter_init(&iter, scan->entries);
+    while (g_hash_table_iter_next(&iter, &runner, NULL)) {
+        int node = find_node(scan->jobs, runner);
+        if (node >= 0) {
+            find_call(scan, region, scan->jobs->view->nodes[node].name);
+        }
+    }
+}
+
+/* Sends the calls about the jobs of a region up to `until`; "": all that are
+ * left. */
+static void
+deliver_calls(struct scan *scan, struct region_scan *region, const char *until)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, region->calls);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        struct jobs_request *call = value;
+        g_strlcpy(call->list_after, region->after, sizeof(call->list_after));
+        g_strlcpy(call->list_until, until, sizeof(call->list_until));
+        g_hash_table_iter_steal(&iter);
+        deliver(scan->jobs, name, call);
+        g_free(name);
+    }
+    g_strlcpy(region->after, until, sizeof(region->after));
+    region->n_checks = 0;
+}
+
+static struct region_scan *
+find_region(const struct scan *scan, const char *name)
+{
+    for (int i = 0; i < scan->n_regions; i++) {
+        if (strcmp(scan->regions[i].name, name) == 0) {
+            return &scan->regions[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+check_head(struct scan *scan, const struct jobs_head *head, int64_t revision)
+{
+    const struct jobs_region *in =
+        &scan->jobs->homes[region_of(scan->jobs, head)];
+    struct region_scan *region = find_region(scan, in->name);
+
+    if (region == NULL || !jobs_head_is_open(head)) {
+        return;
+    }
+    check_job(scan, region, &in->nodes, head, revision);
+    if (region->n_checks >= MAX_CHECKS) {
+        deliver_calls(scan, region, head->id);
+        begin_calls(scan, region);
+    }
+}
+
+static void
+check_heads(struct scan *scan, const struct platform_kv *kv)
+{
+    scan->now_ms = base_clock_ms();
     for (guint i = 0; i < kv->entries->len; i++) {
         const struct platform_entry *entry = kv->entries->pdata[i];
         const char *id = entry->key + strlen(JOBS_HEAD_PREFIX);
@@ -286,14 +333,12 @@
         if (!g_str_has_prefix(entry->key, JOBS_HEAD_PREFIX)) {
             continue;
         }
+        scan->n_heads++;
         if (!jobs_head_decode(id, entry->value, &head, &err)) {
             base_log_error("jobs.head_unreadable", &err, "id=%s", id);
             continue;
         }
-        if (jobs_head_is_open(&head) &&
-            region_of(scan->jobs, &head) == scan->region) {
-            check_job(scan, &head, entry->revision);
-        }
+        check_head(scan, &head, entry->revision);
         jobs_head_finish(&head);
     }
 }
@@ -302,86 +347,156 @@
 index_entries(struct scan *scan, const struct platform_kv *kv)
 {
     for (guint i = 0; i < kv->entries->len; i++) {
-        struct platform_entry *entry = kv->entries->pdata[i];
+        const struct platform_entry *entry = kv->entries->pdata[i];
         if (g_str_has_prefix(entry->key, JOBS_NODE_PREFIX)) {
-            char *runner = entry->key + strlen(JOBS_NODE_PREFIX);
-            int node = find_node(scan->jobs, runner);
-            g_hash_table_insert(scan->entries, runner, entry);
-            if (node >= 0) {
-                /* It is notified even if it has no job in the list. */
-                find_call(scan, scan->jobs->view->nodes[node].name);
-            }
+            g_hash_table_replace(
+                scan->entries, g_strdup(entry->key + strlen(JOBS_NODE_PREFIX)),
+                GINT_TO_POINTER(is_leaving_entry(entry) ? ENTRY_LEAVING
+                                                        : ENTRY_READY));
         }
     }
+    for (int i = 0; i < scan->n_regions; i++) {
+        begin_calls(scan, &scan->regions[i]);
+    }
 }
 
-static void
-deliver_calls(struct scan *scan)
+static bool
+scans_region(const struct jobs *jobs, int region)
 {
-    GHashTableIter iter;
-    gpointer name;
-    gpointer call;
+    return jobs_homes_scans(&jobs->homes[region].nodes, jobs->view->self,
+                            base_wall_ms());
+}
 
-    g_hash_table_iter_init(&iter, scan->calls);
-    while (g_hash_table_iter_next(&iter, &name, &call)) {
-        deliver(scan->jobs, name, call);
+static GHashTable *
+new_times(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static struct scan *
+new_scan(struct jobs *jobs)
+{
+    struct scan *scan = g_new0(struct scan, 1);
+
+    scan->jobs = jobs;
+    scan->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    scan->missing_since = new_times();
+    scan->orphaned_since = new_times();
+    scan->regions = g_new0(struct region_scan, (gsize)jobs->n_homes);
+    for (int i = 0; i < jobs->n_homes; i++) {
+        struct region_scan *region = &scan->regions[scan->n_regions];
+        if (scans_region(jobs, i)) {
+            g_strlcpy(region->name, jobs->homes[i].name, sizeof(region->name));
+            region->calls =
+                g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)jobs_request_free);
+            scan->n_regions++;
+        }
     }
+    return scan;
 }
 
 static void
-scan_region(struct scan *scan, int region, const struct platform_kv *kv)
+free_scan(struct scan *scan)
 {
-    scan->region = region;
-    scan->entries = g_hash_table_new(g_str_hash, g_str_equal);
-    scan->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    scan->n_orphans = 0;
-    index_entries(scan, kv);
-    check_jobs(scan, kv);
-    deliver_calls(scan);
-    base_log(BASE_LOG_DEBUG, "jobs.scanned",
-             "region=%s entries=%u runners=%u orphans=%d "
-             "revision=%" G_GINT64_FORMAT,
-             scan->jobs->homes[region].name, kv->entries->len,
-             g_hash_table_size(scan->entries), scan->n_orphans, kv->revision);
+    for (int i = 0; i < scan->n_regions; i++) {
+        g_hash_table_destroy(scan->regions[i].calls);
+    }
+    g_free(scan->regions);
     g_hash_table_destroy(scan->entries);
-    g_hash_table_destroy(scan->calls);
+    g_hash_table_destroy(scan->missing_since);
+    g_hash_table_destroy(scan->orphaned_since);
+    g_free(scan);
 }
 
-static bool
-scans_region(const struct jobs *jobs, int region)
+static void
+finish_scan(struct scan *scan)
 {
-    return jobs_homes_scans(&jobs->homes[region].nodes, jobs->view->self,
-                            base_wall_ms());
+    struct jobs *jobs = scan->jobs;
+
+    for (int i = 0; i < scan->n_regions; i++) {
+        struct region_scan *region = &scan->regions[i];
+        deliver_calls(scan, region, "");
+        base_log(BASE_LOG_DEBUG, "jobs.scanned",
+                 "region=%s heads=%u runners=%u orphans=%d "
+                 "revision=%" G_GINT64_FORMAT,
+                 region->name, scan->n_heads, g_hash_table_size(scan->entries),
+                 region->n_orphans, scan->revision);
+    }
+    /* The old times are freed with the scan. */
+    GHashTable *missing_since = jobs->missing_since;
+    GHashTable *orphaned_since = jobs->orphaned_since;
+    jobs->missing_since = scan->missing_since;
+    jobs->orphaned_since = scan->orphaned_since;
+    scan->missing_since = missing_since;
+    scan->orphaned_since = orphaned_since;
 }
 
+/* Ends the scan; `last` is its last reply. */
 static void
-on_scanned(struct jobs *jobs, struct platform_kv *kv, void *context)
+end_scan(struct jobs *jobs, const struct platform_kv *last)
 {
-    struct scan scan = {
-        .jobs = jobs,
-        .revision = kv->revision,
-        .now_ms = base_clock_ms(),
-    };
+    struct scan *scan = jobs->scan;
+
+    jobs->scan = NULL;
+    if (last->status == PLATFORM_OK) {
+        finish_scan(scan);
+    }
+    else {
+        jobs->next_scan_ms = base_clock_ms() + SCAN_RETRY_MS;
+    }
+    free_scan(scan);
+}
+
+static void
+on_heads(struct jobs *jobs, const struct platform_kv *page, void *context)
+{
+    (void)context;
+    check_heads(jobs->scan, page);
+}
+
+static void
+on_heads_end(struct jobs *jobs, const struct platform_kv *last, void *context)
+{
+    (void)context;
+    end_scan(jobs, last);
+}
+
+/* Receives the entries of all runners, before the heads are read. */
+static void
+on_entries(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    static const struct jobs_pages_ops OPS = {on_heads, on_heads_end};
 
     (void)context;
-    jobs->is_scanning = false;
     if (kv->status != PLATFORM_OK) {
-        jobs->next_scan_ms = scan.now_ms + SCAN_RETRY_MS;
+        end_scan(jobs, kv);
         return;
     }
-    scan.missing_since =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    scan.orphaned_since =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    for (int i = 0; i < jobs->n_homes; i++) {
-        if (scans_region(jobs, i)) {
-            scan_region(&scan, i, kv);
-        }
+    index_entries(jobs->scan, kv);
+    jobs_read_pages(jobs, JOBS_HEAD_PREFIX, &OPS, NULL);
+}
+
+/* Receives the heads and entries, if they are few.  Heads are judged by the
+ * entries, which come after them. */
+static void
+on_first_page(struct jobs *jobs, struct platform_kv *kv, void *context)
+{
+    struct scan *scan = jobs->scan;
+
+    (void)context;
+    scan->revision = kv->revision;
+    if (kv->status == PLATFORM_OK && kv->has_more) {
+        jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, JOBS_NODE_PREFIX),
+                     (struct jobs_kv_callback){on_entries, NULL});
+        return;
+    }
+    if (kv->status == PLATFORM_OK) {
+        index_entries(scan, kv);
+        check_heads(scan, kv);
     }
-    g_hash_table_destroy(jobs->missing_since);
-    g_hash_table_destroy(jobs->orphaned_since);
-    jobs->missing_since = scan.missing_since;
-    jobs->orphaned_since = scan.orphaned_since;
+    end_scan(jobs, kv);
 }
 
 /* Scans all jobs soon instead of at the usual time. */
@@ -410,7 +525,9 @@
 void
 jobs_scan_tick(struct jobs *jobs, int64_t now_ms)
 {
-    if (jobs->is_scanning || now_ms < jobs->next_scan_ms ||
+    struct platform_kv *kv;
+
+    if (jobs->scan != NULL || now_ms < jobs->next_scan_ms ||
         g_atomic_int_get(&jobs->is_draining)) {
         return;
     }
@@ -421,7 +538,8 @@
         return;
     }
     jobs->next_scan_ms = now_ms + SCAN_MS;
-    jobs->is_scanning = true;
-    jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, JOBS_ACTIVE_PREFIX),
-                 (struct jobs_kv_callback){on_scanned, NULL});
+    jobs->scan = new_scan(jobs);
+    kv = platform_kv_new(PLATFORM_LIST, JOBS_ACTIVE_PREFIX);
+    kv->limit = JOBS_PAGE_ENTRIES;
+    jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_first_page, NULL});
 }
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -19,10 +19,10 @@
     struct jobs_job *job;
     struct jobs_head head;
     char identity[JOBS_SUBMISSION_SIZE]; /* of the first request; or empty */
-    int64_t token_limit; /* waiting tokens of the route; 0: no limit */
-    int64_t waiting;     /* tokens that would wait, with this job's */
-    int64_t held_bytes;  /* taken from jobs->held; 0: this node will not be the
-                            runner */
+    int64_t token_limit;         /* waiting tokens of the route; 0: no limit */
+    struct jobs_waiting waiting; /* if there is a limit */
+    int64_t held_bytes; /* taken from jobs->held; 0: this node will not be the
+                           runner */
 };
 
 static void
@@ -75,25 +75,14 @@
     return is_own;
 }
 
-/* The job was accepted before.  If this node is its runner and does not know
- * it, the reply to that write was lost. */
+/* The job was accepted before, and `entry` has its head. */
 static void
 finish_known(struct jobs *jobs, struct submission *submission,
-             const struct platform_kv *kv)
+             const struct platform_entry *entry)
 {
-    struct jobs_check check = {.revision = INT64_MAX};
-    const struct platform_entry *entry =
-        jobs_kv_find_head(kv, submission->head.id);
-
-    g_strlcpy(check.id, submission->head.id, sizeof(check.id));
-    if (entry != NULL && !is_own_head(submission, entry)) {
-        finish_submission(jobs, submission, JOBS_NOT_FOUND, NULL);
-        return;
-    }
-    finish_submission(jobs, submission, JOBS_OK, NULL);
-    if (kv->status == PLATFORM_CONFLICT) {
-        jobs_check_head(jobs, &check);
-    }
+    finish_submission(
+        jobs, submission,
+        is_own_head(submission, entry) ? JOBS_OK : JOBS_NOT_FOUND, NULL);
 }
 
 /* The head was not written: the job exists, or the client has been told that
@@ -102,17 +91,28 @@
 finish_conflict(struct jobs *jobs, struct submission *submission,
                 const struct platform_kv *kv)
 {
+    const struct platform_entry *entry =
+        jobs_kv_find_head(kv, submission->head.id);
+    struct jobs_check check = {.revision = INT64_MAX};
     struct base_error err = {0};
 
-    if (jobs_kv_find_head(kv, submission->head.id) != NULL ||
-        submission->identity[0] == '\0') {
-        finish_known(jobs, submission, kv);
+    if (entry == NULL && submission->identity[0] != '\0') {
+        base_error_set(&err, BASE_UNAVAILABLE,
+                       "submission %s was refused by the node that forwarded "
+                       "it",
+                       submission->identity);
+        finish_submission(jobs, submission, JOBS_REFUSED, &err);
+        return;
+    }
+    if (entry != NULL && !is_own_head(submission, entry)) {
+        finish_submission(jobs, submission, JOBS_NOT_FOUND, NULL);
         return;
     }
-    base_error_set(&err, BASE_UNAVAILABLE,
-                   "submission %s was refused by the node that forwarded it",
-                   submission->identity);
-    finish_submission(jobs, submission, JOBS_REFUSED, &err);
+    g_strlcpy(check.id, submission->head.id, sizeof(check.id));
+    finish_submission(jobs, submission, JOBS_OK, NULL);
+    /* If this node is the runner and does not know the job, the reply to that
+     * write was lost. */
+    jobs_check_head(jobs, &check);
 }
 
 /* Starts the run of an accepted job, or leaves the job to its home. */
@@ -208,13 +208,11 @@
     jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_written, submission});
 }
 
-/* Returns whether the tokens of two jobs count towards one limit: that of
- * their route and, if the site has operators, their operator. */
-static bool
-shares_limit(const struct jobs_head *a, const struct jobs_head *b)
+static int64_t
+tokens_with_job(const struct submission *submission)
 {
-    return strcmp(a->route, b->route) == 0 &&
-           strcmp(a->operator_name, b->operator_name) == 0;
+    return submission->waiting.tokens +
+           jobs_head_waiting_tokens(&submission->head);
 }
 
 /* Receives the head that the job has if it is complete or has ended.  Such a
@@ -223,21 +221,23 @@
 on_done_head(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
     struct submission *submission = context;
+    const struct platform_entry *entry;
     struct base_error full = {0};
 
     if (kv->status != PLATFORM_OK) {
         finish_submission(jobs, submission, JOBS_REFUSED, &kv->err);
         return;
     }
-    if (jobs_kv_find_head(kv, submission->head.id) != NULL) {
-        finish_known(jobs, submission, kv);
+    entry = jobs_kv_find_head(kv, submission->head.id);
+    if (entry != NULL) {
+        finish_known(jobs, submission, entry);
         return;
     }
     base_error_set(&full, BASE_FULL,
                    "%" G_GINT64_FORMAT
                    " tokens would wait on the route, %" G_GINT64_FORMAT
                    " are allowed",
-                   submission->waiting, submission->token_limit);
+                   tokens_with_job(submission), submission->token_limit);
     finish_submission(jobs, submission, JOBS_FULL, &full);
 }
 
@@ -251,41 +251,27 @@
     g_free(key);
 }
 
-/* Receives the heads of all open jobs.  Writes the new job if its tokens and
- * those that already wait stay within the limit. */
 static void
-on_heads(struct jobs *jobs, struct platform_kv *kv, void *context)
+on_known(struct jobs *jobs, const struct platform_entry *entry, void *context)
+{
+    finish_known(jobs, context, entry);
+}
+
+/* Writes the job if its tokens and those that wait stay within the limit. */
+static void
+on_counted(struct jobs *jobs, const struct platform_kv *last, void *context)
 {
     struct submission *submission = context;
 
-    submission->waiting = jobs_head_waiting_tokens(&submission->head);
-    if (kv->status != PLATFORM_OK) {
-        finish_submission(jobs, submission, JOBS_REFUSED, &kv->err);
-        return;
+    if (last->status != PLATFORM_OK) {
+        finish_submission(jobs, submission, JOBS_REFUSED, &last->err);
     }
-    for (guint i = 0; i < kv->entries->len; i++) {
-        const struct platform_entry *entry = kv->entries->pdata[i];
-        const char *id = entry->key + strlen(JOBS_HEAD_PREFIX);
-        struct jobs_head head;
-        struct base_error err = {0};
-        if (strcmp(id, submission->head.id) == 0) {
-            finish_known(jobs, submission, kv);
-            return;
-        }
-        if (!jobs_head_decode(id, entry->value, &head, &err)) {
-            base_log_error("jobs.head_unreadable", &err, "id=%s", id);
-            continue;
-        }
-        if (shares_limit(&head, &submission->head)) {
-            submission->waiting += jobs_head_waiting_tokens(&head);
-        }
-        jobs_head_finish(&head);
-    }
-    if (submission->waiting > submission->token_limit) {
+    else if (tokens_with_job(submission) > submission->token_limit) {
         read_done_head(jobs, submission);
-        return;
     }
-    write_job(jobs, submission);
+    else {
+        write_job(jobs, submission);
+    }
 }
 
 static const char *
@@ -366,8 +352,13 @@
     }
     submission = new_submission(jobs, request, route, may_run);
     if (submission->token_limit > 0) {
-        jobs_kv_send(jobs, platform_kv_new(PLATFORM_LIST, JOBS_HEAD_PREFIX),
-                     (struct jobs_kv_callback){on_heads, submission});
+        submission->waiting = (struct jobs_waiting){
+            .head = &submission->head,
+            .on_known = on_known,
+            .on_counted = on_counted,
+            .context = submission,
+        };
+        jobs_waiting_count(jobs, &submission->waiting);
         return;
     }
     write_job(jobs, submission);
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -305,6 +305,7 @@
         return;
     case PLATFORM_LIST:
         fake->n_scans += strcmp(kv->key, JOBS_ACTIVE_PREFIX) == 0 ? 1 : 0;
+        kv->revision = fake->revision;
         list_records(kv);
         return;
     case PLATFORM_PUT_IF:
@@ -2830,6 +2831,92 @@
     return out;
 }
 
+/* Stores the heads of n jobs, f0000 and so on, of another route. */
+void
+add_heads(int n, const char *runner, bool is_ended)
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    for (int i = 0; i < n; i++) {
+        char id[JOBS_ID_SIZE];
+        struct jobs_head head;
+        int64_t tokens = 100;
+        g_snprintf(id, sizeof(id), "f%04d", i);
+        jobs_head_init(&head, id);
+        head.host = g_strdup("h");
+        head.path = g_strdup("/b/x");
+        head.route = g_strdup("other");
+        head.region = g_strdup("r");
+        g_strlcpy(head.runner, runner, sizeof(head.runner));
+        head.is_ended = is_ended;
+        g_array_append_val(head.tokens, tokens);
+        GBytes *bytes = jobs_head_encode(&head);
+        fake->records[std::string(JOBS_HEAD_PREFIX) + id] = {
+            text_of(bytes), ++fake->revision, 0};
+        g_bytes_unref(bytes);
+        jobs_head_finish(&head);
+    }
+}
+
+/* Guards against nodes that keep the heads of all open jobs of a site in
+ * memory at one time.  The store sends no list above 100 KB here. */
+TEST(Jobs, TheHeadsOfAllOpenJobsAreReadPageByPage)
+{
+    std::atomic<bool> is_blocked{true};
+    Site site(
+        [&is_blocked](int fd, const std::string &request) {
+            while (is_blocked) {
+                g_usleep(1000);
+            }
+            serve(fd, request);
+        },
+        250);
+    site.store.list_bytes = 100000;
+    site.store.page_bytes = 50000;
+    add_heads(1000, "n9#1", true);
+    auto one = std::make_unique<Node>(site, "n1");
+
+    EXPECT_EQ(one->submit("j", "a b"), JOBS_OK);
+    EXPECT_EQ(one->submit("k", "c"), JOBS_FULL);
+    one->stop();
+    end_leases_of("n1");
+    site.members[0].state = MEMBERS_DEAD;
+    is_blocked = false;
+    Node two(site, "n2");
+    EXPECT_EQ(two.wait_for("j", 2).size(), 2u);
+}
+
+/* Guards against a runner that goes on with a job of which it heard nothing,
+ * as its scan sent the checks of so many jobs in several calls. */
+TEST(Jobs, ARunnerHearsOfItsEndedJobAmongThousands)
+{
+    std::atomic<bool> is_closed{false};
+    Site site([&is_closed](int fd, const std::string &request) {
+        test_write(fd, head(request) + chunk(event(1)));
+        test_wait_for_close(fd);
+        is_closed = true;
+    });
+    site.members.resize(3);
+    site.members[0].address = free_address();
+    site.members[1].address = free_address();
+    Node one(site, "n1");
+    Node two(site, "n2");
+
+    ASSERT_EQ(one.submit("z", "a"), JOBS_OK);
+    add_heads(2500, "n3#1", false);
+    {
+        std::lock_guard<std::mutex> guard(site.store.lock);
+        auto &records = site.store.records;
+        records[JOBS_NODE_PREFIX "n3#1"] = {JOBS_RUNNER_READY, 1, 0};
+        records[JOBS_DONE_PREFIX "z"] = records[JOBS_HEAD_PREFIX "z"];
+        records[JOBS_DONE_PREFIX "z"].revision = ++site.store.revision;
+        records.erase(JOBS_HEAD_PREFIX "z");
+    }
+    for (int i = 0; i < 2000 && !is_closed; i++) {
+        g_usleep(10000);
+    }
+    EXPECT_TRUE(is_closed);
+}
+
 /* Guards against jobs that no node takes over, and results that no node can
  * read, because the results listed so far are more than the link to the store
  * carries in the time of one call. */
