Count the waiting tokens of the jobs that a node is writing

Cause: a submission to a route with a limit counted the tokens in the store and was then written; it did not see the jobs of the same node that were between these two. Eight jobs of 200 tokens that arrived together were all accepted where 650 tokens may wait.

Change: waiting.c keeps the jobs that this node writes, and adds those that the read has not found. A job counts until its write has failed for certain, or until the next read begins.

Jobs that reach different homes at the same moment may still exceed the limit.

--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -588,10 +588,7 @@
     jobs_archive_finish(&jobs->archive);
     g_atomic_rc_box_release(jobs->answers);
     g_hash_table_destroy(jobs->submissions);
-    g_ptr_array_free(jobs->uncounted, TRUE);
-    if (jobs->counted != NULL) {
-        g_ptr_array_free(jobs->counted, TRUE);
-    }
+    jobs_waiting_finish(jobs);
     g_hash_table_destroy(jobs->missing_since);
     g_hash_table_destroy(jobs->orphaned_since);
     free_homes(jobs);
@@ -621,7 +618,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     jobs_archive_init(&jobs->archive, ARCHIVE_BYTES);
     jobs->submissions = g_hash_table_new(g_str_hash, g_str_equal);
-    jobs->uncounted = g_ptr_array_new();
+    jobs_waiting_init(jobs);
     jobs->missing_since =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     jobs->orphaned_since =
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -199,6 +199,8 @@
      * and those that wait for the next one. */
     GPtrArray *counted;
     GPtrArray *uncounted;
+    uint64_t n_counts;         /* such reads so far */
+    GHashTable *writes;        /* id to struct pending_write, see waiting.c */
     struct jobs_region *homes; /* by region; one for all if none is known */
     int n_homes;               /* 0: no membership view yet */
     int region;                /* index in homes of this node's region */
@@ -333,7 +335,7 @@
 /* A job that is submitted to a route with a limit of waiting tokens. */
 struct jobs_waiting {
     const struct jobs_head *head;
-    int64_t tokens; /* of the open jobs that share its limit */
+    int64_t tokens; /* of the other open jobs that share its limit */
     /* Called when the job is found to be open already. */
     void (*on_known)(struct jobs *jobs, const struct platform_entry *entry,
                      void *context);
@@ -343,7 +345,13 @@
     void *context;
 };
 
+void jobs_waiting_init(struct jobs *jobs);
+void jobs_waiting_finish(struct jobs *jobs);
 void jobs_waiting_count(struct jobs *jobs, struct jobs_waiting *waiting);
+void jobs_waiting_write(struct jobs *jobs, const struct jobs_waiting *waiting);
+void jobs_waiting_written(struct jobs *jobs,
+                          const struct jobs_waiting *waiting,
+                          bool may_be_stored);
 
 /* ---- refusal.c ---- */
 
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -42,6 +42,10 @@
              "id=%s items=%u status=%d route=%s error=\"%s\"",
              submission->head.id, submission->head.tokens->len, status,
              submission->head.route, err != NULL ? err->text : "");
+    if (submission->token_limit > 0) {
+        jobs_waiting_written(jobs, &submission->waiting,
+                             status == JOBS_OK || status == JOBS_UNCERTAIN);
+    }
     g_hash_table_remove(jobs->submissions, submission->head.id);
     g_hash_table_remove(jobs->pending_ids, submission->head.id);
     base_budget_give(&jobs->held, submission->held_bytes);
@@ -270,6 +274,7 @@
         read_done_head(jobs, submission);
     }
     else {
+        jobs_waiting_write(jobs, &submission->waiting);
         write_job(jobs, submission);
     }
 }
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1584,6 +1584,56 @@
     is_blocked = false;
 }
 
+/* Guards against jobs that all find room, as each is counted before the others
+ * are stored. */
+TEST(Jobs, JobsThatArriveTogetherDoNotExceedTheLimitOfWaitingTokens)
+{
+    enum { N_JOBS = 8 };
+    std::atomic<bool> is_blocked{true};
+    Site site(
+        [&is_blocked](int fd, const std::string &request) {
+            while (is_blocked) {
+                g_usleep(1000);
+            }
+            serve(fd, request);
+        },
+        650);
+    Node node(site, "n1");
+    std::vector<struct jobs_request *> answers;
+    std::map<enum jobs_status, int> n_answers;
+    struct base_task task;
+    struct base_error err = {};
+    static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
+
+    ASSERT_TRUE(base_task_init(&task, "test", &OPS, &answers, &err));
+    for (int i = 0; i < N_JOBS; i++) {
+        std::string id = "j" + std::to_string(i);
+        struct jobs_request *request =
+            jobs_request_new(JOBS_SUBMIT, id.c_str());
+        request->job = decode(id.c_str(), "a b", 3, nullptr);
+        request->job->host = g_strdup("h");
+        request->job->path = g_strdup("/b/x");
+        request->config_revision = site.world->revision;
+        jobs_request_send(node.jobs, request, &task,
+                          [](struct jobs_request *done, void *state) {
+                              ((decltype(answers) *)state)->push_back(done);
+                          });
+    }
+    for (int i = 0; i < 10000 && answers.size() < N_JOBS; i++) {
+        base_task_drain(&task);
+        g_usleep(1000);
+    }
+    for (struct jobs_request *answer : answers) {
+        n_answers[answer->status]++;
+        jobs_request_free(answer);
+    }
+    EXPECT_EQ(n_answers[JOBS_OK], 3);
+    EXPECT_EQ(n_answers[JOBS_FULL], N_JOBS - 3);
+    is_blocked = false;
+    node.stop();
+    base_task_finish(&task);
+}
+
 /* Guards against items that reach a server with a name or key that the caller
  * put into them, or without the operator's name. */
 TEST(Jobs, ItemsNameTheOperatorOfTheirJob)
