Let no reply of the time of a lost lease confirm a job

Cause: a node that has lost its lease serves a job's results again once it has read its head, as another node may have claimed it. The reply to a read that was sent before the loss was accepted for that, too, and a claim whose input arrived after the loss started a run that counted as confirmed under the next lease. The node then served its list, shorter than that of the next runner.

Change: lease_epoch counts the leases lost; a head that was read or written confirms a job only if none was lost since the call was sent. The same for the acceptance of a job, and for a claim that had no reply.

--- a/packages/jobs/checks.c
+++ b/packages/jobs/checks.c
@@ -7,10 +7,16 @@
 
 enum { MAX_HEAD_READS = 500 }; /* at one time; scans repeat the checks */
 
+struct head_read {
+    struct jobs_check check;
+    int lease_epoch; /* when it was sent */
+};
+
 static void
-apply_check(struct jobs *jobs, const struct jobs_check *check,
+apply_check(struct jobs *jobs, const struct head_read *read,
             const struct jobs_head *head, int64_t revision)
 {
+    const struct jobs_check *check = &read->check;
     struct jobs_run *run = g_hash_table_lookup(jobs->runs, check->id);
 
     if (run != NULL) {
@@ -23,7 +29,7 @@
         return;
     }
     if (strcmp(head->runner, jobs->runner) == 0) {
-        jobs_claim_again(jobs, head, revision);
+        jobs_claim_again(jobs, head, revision, read->lease_epoch);
     }
     else if (check->is_orphan && revision == check->revision) {
         jobs_claim(jobs, head, revision);
@@ -33,22 +39,23 @@
 static void
 on_head_checked(struct jobs *jobs, struct platform_kv *kv, void *context)
 {
-    struct jobs_check *check = context;
-    const struct platform_entry *entry = jobs_kv_find_head(kv, check->id);
+    struct head_read *read = context;
+    const char *id = read->check.id;
+    const struct platform_entry *entry = jobs_kv_find_head(kv, id);
     struct base_error err = {0};
     struct jobs_head head;
 
     jobs->n_head_reads--;
     if (kv->status == PLATFORM_OK && entry != NULL) {
-        if (jobs_head_decode(check->id, entry->value, &head, &err)) {
-            apply_check(jobs, check, &head, entry->revision);
+        if (jobs_head_decode(id, entry->value, &head, &err)) {
+            apply_check(jobs, read, &head, entry->revision);
             jobs_head_finish(&head);
         }
         else {
-            base_log_error("jobs.head_unreadable", &err, "id=%s", check->id);
+            base_log_error("jobs.head_unreadable", &err, "id=%s", id);
         }
     }
-    g_free(check);
+    g_free(read);
 }
 
 /* Compares a head that a scan found with this node's own state, and reads it
@@ -58,6 +65,7 @@
 jobs_check_head(struct jobs *jobs, const struct jobs_check *check)
 {
     const struct jobs_run *run = g_hash_table_lookup(jobs->runs, check->id);
+    struct head_read *read;
 
     if (g_hash_table_contains(jobs->pending_ids, check->id) ||
         (run != NULL &&
@@ -66,9 +74,11 @@
         return;
     }
     jobs->n_head_reads++;
+    read = g_new0(struct head_read, 1);
+    read->check = *check;
+    read->lease_epoch = jobs->lease_epoch;
     jobs_read_head(jobs, check->id,
-                   (struct jobs_kv_callback){
-                       on_head_checked, g_memdup2(check, sizeof(*check))});
+                   (struct jobs_kv_callback){on_head_checked, read});
 }
 
 /* ---- lists of checks ---- */
--- a/packages/jobs/claim.c
+++ b/packages/jobs/claim.c
@@ -7,6 +7,7 @@
     char id[JOBS_ID_SIZE];
     struct jobs_head head;
     int64_t revision;   /* of the head */
+    int lease_epoch;    /* when the head was written or read */
     int64_t held_bytes; /* taken from jobs->held */
     struct jobs_job *job;
     GPtrArray *results; /* of struct jobs_result; NULL: more than a page */
@@ -44,9 +45,9 @@
     jobs_checkpoint_read(&claim->checkpoint, kv->entries);
     if (!g_hash_table_contains(jobs->runs, claim->id)) {
         base_counter_add(jobs->n_claims, 1);
-        struct jobs_run *run =
-            jobs_run_start(jobs, g_steal_pointer(&claim->job), &claim->head,
-                           claim->revision, g_steal_pointer(&claim->results));
+        struct jobs_run *run = jobs_run_start(
+            jobs, g_steal_pointer(&claim->job), &claim->head, claim->revision,
+            claim->lease_epoch, g_steal_pointer(&claim->results));
         jobs_checkpoint_restore(run, &claim->checkpoint);
     }
     g_hash_table_remove(jobs->pending_ids, claim->id);
@@ -206,6 +207,7 @@
     g_strlcpy(claim->head.runner, jobs->runner, sizeof(claim->head.runner));
     kv->expect_revision = claim->revision;
     kv->value = jobs_head_encode(&claim->head);
+    claim->lease_epoch = jobs->lease_epoch;
     g_free(key);
     jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_claimed, claim});
 }
@@ -244,7 +246,10 @@
  * to the write that accepted or claimed it was lost. */
 void
 jobs_claim_again(struct jobs *jobs, const struct jobs_head *head,
-                 int64_t revision)
+                 int64_t revision, int lease_epoch)
 {
-    load_job(jobs, new_claim(jobs, head, revision, 0));
+    struct claim *claim = new_claim(jobs, head, revision, 0);
+
+    claim->lease_epoch = lease_epoch;
+    load_job(jobs, claim);
 }
--- a/packages/jobs/jobs_private.h
+++ b/packages/jobs/jobs_private.h
@@ -222,15 +222,17 @@
     int is_idle;          /* atomic */
     /* lease */
     int64_t lease_id;       /* 0: none */
+    int lease_epoch;        /* number of leases lost */
     bool is_leasing;        /* a call for the lease or the entry is pending */
     bool is_registered;     /* the runner's entry is stored */
     int64_t entry_revision; /* last known one of the entry */
     int64_t lease_wanted_until_ms;
     /* When this node last had its lease, or no open job. */
     int64_t lease_missing_ms;
-    GQueue lease_waits; /* of struct jobs_lease_wait */
-    bool is_confirming; /* the heads of unconfirmed runs are being read */
-    bool is_leaving;    /* accepts no more jobs */
+    GQueue lease_waits;   /* of struct jobs_lease_wait */
+    bool is_confirming;   /* the heads of unconfirmed runs are being read */
+    int confirming_epoch; /* lease_epoch when that began */
+    bool is_leaving;      /* accepts no more jobs */
     bool is_announcing_leaving; /* in the entry being written */
     bool has_announced_leaving; /* in the stored entry */
     int64_t lease_until_ms;     /* the lease is valid until then */
@@ -369,7 +371,7 @@
 
 struct jobs_run *jobs_run_start(struct jobs *jobs, struct jobs_job *job,
                                 struct jobs_head *head, int64_t revision,
-                                GPtrArray *results);
+                                int lease_epoch, GPtrArray *results);
 bool jobs_run_shrink_pieces(struct jobs_run *run);
 void jobs_run_item_done(struct jobs_run *run, struct jobs_work *work,
                         bool is_completed);
@@ -410,6 +412,7 @@
 };
 
 bool jobs_holds_lease(const struct jobs *jobs);
+bool jobs_is_certain(const struct jobs *jobs, int lease_epoch);
 bool jobs_may_send(const struct jobs *jobs);
 void jobs_lease_tick(struct jobs *jobs, int64_t now_ms);
 void jobs_with_lease(struct jobs *jobs,
@@ -432,7 +435,7 @@
 void jobs_claim(struct jobs *jobs, const struct jobs_head *head,
                 int64_t revision);
 void jobs_claim_again(struct jobs *jobs, const struct jobs_head *head,
-                      int64_t revision);
+                      int64_t revision, int lease_epoch);
 
 /* ---- admission.c and item.c ---- */
 
--- a/packages/jobs/lease.c
+++ b/packages/jobs/lease.c
@@ -23,6 +23,15 @@
     return jobs->is_registered && base_clock_ms() < jobs->lease_until_ms;
 }
 
+/* Returns whether a head that this node has read or written is certainly still
+ * so, if it names this node: no lease has been lost since `lease_epoch`, when
+ * the call was sent, so that no other node can have claimed the job. */
+bool
+jobs_is_certain(const struct jobs *jobs, int lease_epoch)
+{
+    return jobs_holds_lease(jobs) && jobs->lease_epoch == lease_epoch;
+}
+
 /* Returns whether items of this node's jobs may be sent to servers. */
 bool
 jobs_may_send(const struct jobs *jobs)
@@ -116,7 +125,9 @@
 on_heads(struct jobs *jobs, const struct platform_kv *page, void *context)
 {
     (void)context;
-    for (guint i = 0; i < page->entries->len; i++) {
+    for (guint i = 0; i < page->entries->len &&
+                      jobs_is_certain(jobs, jobs->confirming_epoch);
+         i++) {
         const struct platform_entry *entry = page->entries->pdata[i];
         struct jobs_run *run = g_hash_table_lookup(
             jobs->runs, entry->key + strlen(JOBS_HEAD_PREFIX));
@@ -139,7 +150,8 @@
          at = at->next) {
         const struct jobs_run *run = at->data;
         struct jobs_check check = {.revision = INT64_MAX};
-        if (run->is_unconfirmed) {
+        if (run->is_unconfirmed &&
+            jobs_is_certain(jobs, jobs->confirming_epoch)) {
             g_strlcpy(check.id, run->head.id, sizeof(check.id));
             jobs_check_head(jobs, &check);
         }
@@ -174,6 +186,7 @@
         return;
     }
     jobs->is_confirming = true;
+    jobs->confirming_epoch = jobs->lease_epoch;
     jobs_read_pages(jobs, JOBS_HEAD_PREFIX, &OPS, NULL);
 }
 
@@ -185,6 +198,7 @@
     if (jobs->lease_id != 0) {
         base_log(BASE_LOG_NOTICE, "jobs.lease_lost", "runner=%s wanted=%d",
                  jobs->runner, base_clock_ms() < jobs->lease_wanted_until_ms);
+        jobs->lease_epoch++;
         set_unconfirmed(jobs);
     }
     jobs->lease_id = 0;
--- a/packages/jobs/run.c
+++ b/packages/jobs/run.c
@@ -69,7 +69,7 @@
  * the listed results are not held here but read from the store. */
 struct jobs_run *
 jobs_run_start(struct jobs *jobs, struct jobs_job *job, struct jobs_head *head,
-               int64_t revision, GPtrArray *results)
+               int64_t revision, int lease_epoch, GPtrArray *results)
 {
     struct jobs_run *run = g_new0(struct jobs_run, 1);
 
@@ -86,7 +86,7 @@
     run->piece_bytes = jobs_piece_bytes(jobs->limits);
     run->max_attempts = 1;
     run->give_up_at_ms = INT64_MAX;
-    run->is_unconfirmed = !jobs_holds_lease(jobs);
+    run->is_unconfirmed = !jobs_is_certain(jobs, lease_epoch);
     jobs_checkpoint_init(run);
     run->last_commit_ms = base_clock_ms();
     for (guint i = 0; i < job->items->len; i++) {
--- a/packages/jobs/submit.c
+++ b/packages/jobs/submit.c
@@ -21,6 +21,7 @@
     char identity[JOBS_SUBMISSION_SIZE]; /* of the first request; or empty */
     int64_t token_limit;         /* waiting tokens of the route; 0: no limit */
     struct jobs_waiting waiting; /* if there is a limit */
+    int lease_epoch;             /* when the head was written */
     int64_t held_bytes; /* taken from jobs->held; 0: this node will not be the
                            runner */
 };
@@ -130,7 +131,7 @@
     }
     jobs_job_drop_text(submission->job);
     jobs_run_start(jobs, g_steal_pointer(&submission->job), &submission->head,
-                   revision, NULL);
+                   revision, submission->lease_epoch, NULL);
 }
 
 static void
@@ -209,6 +210,7 @@
     g_ptr_array_free(pieces, TRUE);
     g_free(head_key);
     g_free(done_key);
+    submission->lease_epoch = jobs->lease_epoch;
     jobs_kv_send(jobs, kv, (struct jobs_kv_callback){on_written, submission});
 }
 
--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -74,6 +74,10 @@
 struct store_link {
     std::atomic<bool> is_cut{false};
     std::atomic<bool> is_frozen{false}; /* blocks the task that calls */
+    /* Replies to reads of lists whose prefix begins with `late_prefix`, unless
+     * that is empty, are kept.  Both under fake->lock. */
+    std::string late_prefix;
+    std::vector<struct platform_kv *> late_replies;
     std::atomic<int> n_calls{0};
     struct platform_limits limits = {1 << 20, 32};
 };
@@ -448,6 +452,12 @@
     }
     kv->call.ops = &OPS;
     kv->call.from = from;
+    if (!link->late_prefix.empty() && kv->status == PLATFORM_OK &&
+        kv->op == PLATFORM_LIST &&
+        g_str_has_prefix(kv->key, link->late_prefix.c_str())) {
+        link->late_replies.push_back(kv);
+        return;
+    }
     base_call_reply(&kv->call);
 }
 
@@ -3153,6 +3163,116 @@
     }
 }
 
+/* Keeps the replies to a node's reads of lists with the prefix from now on.
+ * Empty: none. */
+void
+keep_replies(Node &node, const char *prefix)
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    node.link.late_prefix = prefix;
+}
+
+void
+wait_for_late_reply(Node &node)
+{
+    for (bool is_kept = false; !is_kept; g_usleep(1000)) {
+        std::lock_guard<std::mutex> guard(fake->lock);
+        is_kept = !node.link.late_replies.empty();
+    }
+}
+
+void
+send_late_replies(Node &node)
+{
+    std::lock_guard<std::mutex> guard(fake->lock);
+    for (struct platform_kv *reply : node.link.late_replies) {
+        base_call_reply(&reply->call);
+    }
+    node.link.late_replies.clear();
+}
+
+/* Cuts a node off from the store until its lease has ended, and waits until
+ * `next` has claimed job j. */
+std::unique_ptr<Node>
+let_next_claim(Site &site, Node &node, const char *next)
+{
+    node.link.is_cut = true;
+    g_usleep(900000); /* longer than the lease */
+    end_leases_of(node.name.c_str());
+    node.member().state = MEMBERS_DEAD;
+    auto claimer = std::make_unique<Node>(site, next);
+    while (runner_of("j") != std::string(next) + "#1") {
+        g_usleep(1000);
+    }
+    return claimer;
+}
+
+/* Reads job j, which has two results, from a node that ran it before. */
+void
+expect_no_shorter_list(Node &node)
+{
+    for (int i = 0; i < 5; i++) {
+        struct jobs_request *request = jobs_request_new(JOBS_RESULTS, "j");
+        enum jobs_status status = node.call(request);
+        if (status == JOBS_OK) {
+            EXPECT_EQ(node.answer->answer.results->len, 2u) << i;
+        }
+        g_usleep(10000);
+    }
+}
+
+/* Guards against a runner that takes a job for its own because of a head that
+ * was read or written under a lease which it has lost before the reply. */
+TEST(Jobs, AReplyOfTheTimeOfALostLeaseConfirmsNothing)
+{
+    for (const char *late : {JOBS_HEAD_PREFIX, JOBS_INPUT_PREFIX}) {
+        SCOPED_TRACE(late);
+        Site site;
+        site.members.resize(3);
+        site.store.n_busy_answers = 1000000;
+        auto one = std::make_unique<Node>(site, "n1");
+        ASSERT_EQ(one->submit("j", "a b"), JOBS_OK);
+        wait_for_record(JOBS_NODE_PREFIX "n1#1");
+        std::unique_ptr<Node> two;
+        Node *runner = one.get();
+        if (strcmp(late, JOBS_HEAD_PREFIX) == 0) {
+            /* It reads the heads since it has been without a lease. */
+            one->link.is_cut = true;
+            g_usleep(900000);
+            keep_replies(*one, late);
+            one->link.is_cut = false;
+        }
+        else {
+            /* It reads the input of the job that it claims. */
+            one->stop();
+            end_leases_of("n1");
+            site.members[0].state = MEMBERS_DEAD;
+            two = std::make_unique<Node>(site, "n2");
+            keep_replies(*two, late);
+            runner = two.get();
+        }
+        wait_for_late_reply(*runner);
+        auto three = let_next_claim(site, *runner, "n3");
+        struct world *no_servers = site.make_world({}, "/b/", 2);
+        runner->member().state = MEMBERS_ALIVE;
+        runner->update(no_servers); /* only node three runs the items */
+        keep_replies(*runner, JOBS_ACTIVE_PREFIX); /* no scan helps it */
+        runner->link.is_cut = false;
+        wait_for_record((JOBS_NODE_PREFIX + runner->name + "#1").c_str());
+        send_late_replies(*runner);
+        g_usleep(100000);
+        {
+            std::lock_guard<std::mutex> guard(site.store.lock);
+            site.store.n_busy_answers = 0;
+        }
+        ASSERT_EQ(three->wait_for("j", 2).size(), 2u);
+        expect_no_shorter_list(*runner);
+        keep_replies(*runner, "");
+        send_late_replies(*runner);
+        world_unref(no_servers);
+    }
+}
+
 /* A job whose runner stopped must not wait for a home that is alive but cannot
  * reach the store. */
 TEST(Jobs, AJobIsClaimedThoughItsHomeHasLostTheStore)
