Refuse submissions that wait for a read of the store that fails

Cause: since waiting tokens are counted by one read at a time, a submission that arrived during a read that the store did not answer waited for that one and then for another: twice the time of a call before it was refused.

Change: the submissions that wait for the next read fail with one that has failed, so that the sender tries another node at once.

--- a/packages/jobs/test_jobs.cc
+++ b/packages/jobs/test_jobs.cc
@@ -1594,6 +1594,54 @@
     is_blocked = false;
 }
 
+/* Submissions of jobs with two items to one node, all at the same time. */
+struct Submissions {
+    struct base_task task;
+    std::vector<struct jobs_request *> answers;
+
+    Submissions()
+    {
+        static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
+        struct base_error err = {};
+        EXPECT_TRUE(base_task_init(&task, "test", &OPS, &answers, &err));
+    }
+    ~Submissions()
+    {
+        for (struct jobs_request *answer : answers) {
+            jobs_request_free(answer);
+        }
+        base_task_finish(&task);
+    }
+    void
+    send(Node &node, const std::string &id)
+    {
+        struct jobs_request *request =
+            jobs_request_new(JOBS_SUBMIT, id.c_str());
+        request->job = decode(id.c_str(), "a b", 3, nullptr);
+        request->job->host = g_strdup("h");
+        request->job->path = g_strdup("/b/x");
+        request->config_revision = node.site.world->revision;
+        jobs_request_send(node.jobs, request, &task,
+                          [](struct jobs_request *done, void *state) {
+                              ((decltype(answers) *)state)->push_back(done);
+                          });
+    }
+    /* Waits for n answers, up to about ten seconds, and counts them. */
+    std::map<enum jobs_status, int>
+    wait_for(size_t n)
+    {
+        std::map<enum jobs_status, int> counts;
+        for (int i = 0; i < 10000 && answers.size() < n; i++) {
+            base_task_drain(&task);
+            g_usleep(1000);
+        }
+        for (struct jobs_request *answer : answers) {
+            counts[answer->status]++;
+        }
+        return counts;
+    }
+};
+
 /* Guards against jobs that all find room, as each is counted before the others
  * are stored. */
 TEST(Jobs, JobsThatArriveTogetherDoNotExceedTheLimitOfWaitingTokens)
@@ -1609,39 +1657,16 @@
         },
         650);
     Node node(site, "n1");
-    std::vector<struct jobs_request *> answers;
-    std::map<enum jobs_status, int> n_answers;
-    struct base_task task;
-    struct base_error err = {};
-    static const struct base_task_ops OPS = {base_task_wake_fd, nullptr};
+    Submissions submissions;
 
-    ASSERT_TRUE(base_task_init(&task, "test", &OPS, &answers, &err));
     for (int i = 0; i < N_JOBS; i++) {
-        std::string id = "j" + std::to_string(i);
-        struct jobs_request *request =
-            jobs_request_new(JOBS_SUBMIT, id.c_str());
-        request->job = decode(id.c_str(), "a b", 3, nullptr);
-        request->job->host = g_strdup("h");
-        request->job->path = g_strdup("/b/x");
-        request->config_revision = site.world->revision;
-        jobs_request_send(node.jobs, request, &task,
-                          [](struct jobs_request *done, void *state) {
-                              ((decltype(answers) *)state)->push_back(done);
-                          });
-    }
-    for (int i = 0; i < 10000 && answers.size() < N_JOBS; i++) {
-        base_task_drain(&task);
-        g_usleep(1000);
-    }
-    for (struct jobs_request *answer : answers) {
-        n_answers[answer->status]++;
-        jobs_request_free(answer);
+        submissions.send(node, "j" + std::to_string(i));
     }
+    auto n_answers = submissions.wait_for(N_JOBS);
     EXPECT_EQ(n_answers[JOBS_OK], 3);
     EXPECT_EQ(n_answers[JOBS_FULL], N_JOBS - 3);
     is_blocked = false;
     node.stop();
-    base_task_finish(&task);
 }
 
 /* Guards against items that reach a server with a name or key that the caller
@@ -3273,6 +3298,32 @@
     }
 }
 
+/* Guards against submissions that wait for one read of a store that does not
+ * answer after the other. */
+TEST(Jobs, SubmissionsThatWaitForAReadFailWithIt)
+{
+    Site site(serve, 1000);
+    Node node(site, "n1");
+    Submissions submissions;
+
+    keep_replies(node, JOBS_HEAD_PREFIX);
+    submissions.send(node, "j");
+    wait_for_late_reply(node);
+    submissions.send(node, "k");
+    submissions.send(node, "l");
+    g_usleep(50000);
+    {
+        std::lock_guard<std::mutex> guard(site.store.lock);
+        ASSERT_EQ(node.link.late_replies.size(), 1u);
+        node.link.late_replies[0]->status = PLATFORM_UNAVAILABLE;
+    }
+    send_late_replies(node);
+    EXPECT_EQ(submissions.wait_for(3)[JOBS_REFUSED], 3);
+    keep_replies(node, "");
+    EXPECT_EQ(node.submit("j", "a"), JOBS_OK);
+    node.stop();
+}
+
 /* A job whose runner stopped must not wait for a home that is alive but cannot
  * reach the store. */
 TEST(Jobs, AJobIsClaimedThoughItsHomeHasLostTheStore)
--- a/packages/jobs/waiting.c
+++ b/packages/jobs/waiting.c
@@ -116,20 +116,36 @@
 static void count_next(struct jobs *jobs);
 
 static void
-on_end(struct jobs *jobs, const struct platform_kv *last, void *context)
+finish_counts(struct jobs *jobs, GPtrArray *counted,
+              const struct platform_kv *last)
 {
-    GPtrArray *counted = jobs->counted;
-
-    (void)context;
-    jobs->counted = NULL;
     for (guint i = 0; i < counted->len; i++) {
         struct jobs_waiting *waiting = counted->pdata[i];
         count_writes(jobs, waiting);
         waiting->on_counted(jobs, last, waiting->context);
     }
     g_ptr_array_free(counted, TRUE);
+}
+
+/* Submissions that wait for the next read fail with one that has failed: they
+ * would wait as long again. */
+static void
+on_end(struct jobs *jobs, const struct platform_kv *last, void *context)
+{
+    GPtrArray *counted = g_steal_pointer(&jobs->counted);
+    GPtrArray *uncounted = NULL;
+
+    (void)context;
+    if (last->status != PLATFORM_OK) {
+        uncounted = jobs->uncounted;
+        jobs->uncounted = g_ptr_array_new();
+    }
+    finish_counts(jobs, counted, last);
+    if (uncounted != NULL) {
+        finish_counts(jobs, uncounted, last);
+    }
     g_hash_table_foreach_remove(jobs->writes, has_ended, NULL);
-    if (jobs->uncounted->len > 0) {
+    if (jobs->counted == NULL && jobs->uncounted->len > 0) {
         count_next(jobs);
     }
 }
