--- a/standins/site.py
+++ b/standins/site.py
@@ -290,6 +290,7 @@
     def __init__(self, n_engines=3, event_interval_s=0.02, zones=("a", "b")):
         self.store = Store()
         self.engines = []
+        self.ports = {}  # of engines that are reached at another one
         self.version = 0
         for number in range(n_engines):
             self.add_server(zones[number % len(zones)], event_interval_s)
@@ -302,8 +303,9 @@
 
     def register(self, engine, zone, state):
         """Writes an engine's entry; the state is "ready" or "draining"."""
+        port = self.ports.get(engine.name, engine.port)
         self.store.put(f"servers/{engine.name}", {
-            "service": "llm", "address": f"127.0.0.1:{engine.port}",
+            "service": "llm", "address": f"127.0.0.1:{port}",
             "zone": zone, "slots": 8, "state": state, "seq": 1, "born": 1})
 
     def configure(self, more_routes):
