Give the soak at full size as many engines as nodes

Cause: the soak had not been played at full size.

Change: 40 engines at full size; the results of eight jobs are read at one time. The checks and their times are the same.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -19,6 +19,7 @@
   could not reach the store for half of its drain time to release its jobs.
 """
 import collections
+import concurrent.futures
 import http.client
 import json
 import random
@@ -34,9 +35,11 @@
                         wait_for)
 
 NOT_RUN = (408, 421, 429, 503)
-SIZES = {"small": (5, 8, 20), "full": (40, 40, 60)}  # nodes, callers, seconds
+# Nodes, callers, engines, seconds.
+SIZES = {"small": (5, 8, 4, 20), "full": (40, 40, 40, 60)}
 STOP_S = 60
 SETTLE_S = 45  # for the results of all jobs after the last fault
+CHECKS = 8  # jobs whose results are read at one time
 # After this time a request that met a link with a fault has ended.
 REQUEST_S = 10
 WITHOUT_STORE_S = 4  # half of drain_ms
@@ -78,10 +81,10 @@
     """The state that callers, faults and checks share."""
 
     def __init__(self, seed, scale, folder):
-        n_nodes, self.n_callers, self.fault_s = SIZES[scale]
+        n_nodes, self.n_callers, n_engines, self.fault_s = SIZES[scale]
         self.random = random.Random(seed)
         self.seed = seed
-        self.site = standins.Site(4)
+        self.site = standins.Site(n_engines)
         seeds = [free_port()]
         self.routes = [ONCE_ROUTE]
         self.site.configure(self.routes)
@@ -357,8 +360,9 @@
                                         for n in self.nodes)):
                 self.fail(f"{path} is not served at all nodes")
         until = time.monotonic() + SETTLE_S
-        for job, items in self.jobs.items():
-            self.check_job(job, items, until)
+        with concurrent.futures.ThreadPoolExecutor(CHECKS) as pool:
+            list(pool.map(lambda each: self.check_job(*each, until),
+                          self.jobs.items()))
         self.check_runs()
         for node in self.nodes:
             self.check_alive(node)
